--- /dev/null
+++ b/src/pearhead/anvil/fleet.py
@@ -0,0 +1,233 @@
+"""Fleet (§4.2): the state that the cores agree on. It sees no clock and no chance."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+import unittest
+from collections import OrderedDict
+from typing import Any
+
+from result import Err
+
+from pearhead.awl.description import read_description
+from pearhead.awl.view import EMPTY_BODY, SECTION_NAMES, hash_sections
+from pearhead.awl.wire_pb2 import (
+    ApplyDescription,
+    BumpPart,
+    Command,
+    ConfirmLoad,
+    NameWeights,
+    Section,
+    SetWorkers,
+    TakeHold,
+    ViewDelta,
+    Worker,
+)
+
+TRANSACTION_LIMIT = 65_536
+HISTORY_LIMIT = 256
+UNSEEN_BODIES = ("bump", "hold")
+
+Outcome = dict[str, Any]
+
+
+def to_body(value: Any) -> bytes:
+    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
+
+
+class Fleet:
+    def __init__(self) -> None:
+        self.index = 0
+        self.description: Outcome = {}
+        self.descriptionRevision = 0
+        self.history: list[Outcome] = []
+        self.workers: dict[str, Outcome] = {}
+        self.weights: dict[str, Outcome] = {}
+        self.holds: dict[str, Outcome] = {}
+        self.loads: dict[str, Outcome] = {}
+        self.parts: dict[str, dict[int, int]] = {}
+        self.volumeIndexes: dict[str, int] = {}
+        self.transactions: OrderedDict[str, Outcome] = OrderedDict()
+        self.sections: dict[str, tuple[int, bytes]] = {name: (0, EMPTY_BODY) for name in SECTION_NAMES}
+        self.visibleIndex = 0
+
+    # ---- Machine ---------------------------------------------------------------------------------
+
+    def apply(self, index: int, commandBytes: bytes) -> Outcome:
+        command = Command.FromString(commandBytes)
+        self.index = index
+        if command.WhichOneof("body") not in UNSEEN_BODIES:
+            # Refused ones count as well, so that nodes come level with the last index of the log (§5.2).
+            self.visibleIndex = index
+        transaction = command.transaction.hex()
+        if transaction and transaction in self.transactions:
+            # A repeat returns the first outcome and changes nothing (§4.2).
+            return self.transactions[transaction]
+        bodyName = command.WhichOneof("body")
+        if bodyName is None:
+            return {"status": "refused", "faults": ["an unknown command"]}
+        outcome: Outcome = getattr(self, f"_apply_{bodyName}")(index, getattr(command, bodyName))
+        if transaction:
+            self.transactions[transaction] = outcome
+            if len(self.transactions) > TRANSACTION_LIMIT:
+                self.transactions.popitem(last=False)
+        return outcome
+
+    def take_digest(self) -> bytes:
+        return to_body({
+            "index": self.index,
+            "description": self.description,
+            "descriptionRevision": self.descriptionRevision,
+            "history": self.history,
+            "workers": self.workers,
+            "weights": self.weights,
+            "holds": self.holds,
+            "loads": self.loads,
+            "parts": {v: sorted(p.items()) for v, p in self.parts.items()},
+            "volumeIndexes": self.volumeIndexes,
+            "transactions": list(self.transactions.items()),
+            "sections": {n: [i, base64.b64encode(b).decode()] for n, (i, b) in self.sections.items()},
+            "visibleIndex": self.visibleIndex,
+        })
+
+    def load_digest(self, digestBytes: bytes) -> None:
+        data = json.loads(digestBytes)
+        for name in ("index", "description", "descriptionRevision", "history", "workers", "weights",
+                     "holds", "loads", "volumeIndexes", "visibleIndex"):
+            setattr(self, name, data[name])
+        self.parts = {v: {p: r for p, r in pairs} for v, pairs in data["parts"].items()}
+        self.transactions = OrderedDict((t, o) for t, o in data["transactions"])
+        self.sections = {n: (i, base64.b64decode(b)) for n, (i, b) in data["sections"].items()}
+
+    # ---- reading ---------------------------------------------------------------------------------
+
+    def delta_since(self, haveIndex: int, haveHash: str) -> ViewDelta | None:
+        """Only the sections changed since a node's index; whole when its hash is unknown (§5.2)."""
+        if haveIndex >= self.visibleIndex:
+            return None
+        baseIndex = haveIndex if haveHash else 0
+        delta = ViewDelta(baseIndex=baseIndex, index=self.visibleIndex, hash=hash_sections(self.sections))
+        for name, (sectionIndex, body) in sorted(self.sections.items()):
+            if sectionIndex > baseIndex:
+                delta.section.append(Section(name=name, index=sectionIndex, body=body))
+        return delta
+
+    def revisions_of(self, volume: str) -> list[tuple[int, int]]:
+        """The table's pairs; revision one is the default and left out (§6.4)."""
+        return sorted((p, r) for p, r in self.parts.get(volume, {}).items() if r > 1)
+
+    @staticmethod
+    def touches_view(commandBytes: bytes) -> bool:
+        """Whether nodes can see what a command changes: part revisions and holds travel otherwise."""
+        return Command.FromString(commandBytes).WhichOneof("body") not in UNSEEN_BODIES
+
+    # ---- commands --------------------------------------------------------------------------------
+
+    def _apply_apply(self, index: int, command: ApplyDescription) -> Outcome:
+        if command.baseRevision != self.descriptionRevision:
+            return {"status": "conflict", "revision": self.descriptionRevision}
+        checked = read_description(command.description)
+        if isinstance(checked, Err):
+            return {"status": "refused", "faults": checked.err_value}
+        self.description = json.loads(command.description)
+        self.descriptionRevision = index
+        descriptionHash = hashlib.blake2b(command.description, digest_size=16).hexdigest()
+        self.history.append({"revision": index, "by": command.by, "hash": descriptionHash})
+        del self.history[:-HISTORY_LIMIT]
+        for line in checked.ok_value.lines:
+            # The file names the weights that a line begins with; later ones are named apart (§7.1).
+            self.weights.setdefault(line.name, {"weights": line.weights, "revision": index})
+        self._show("description", index, {"revision": index, "description": self.description})
+        self._show("weights", index, self.weights)
+        return {"status": "done", "revision": index}
+
+    def _apply_workers(self, index: int, command: SetWorkers) -> Outcome:
+        if not command.partial:
+            self.workers = {}
+        for worker in command.worker:
+            self.workers[worker.name] = {
+                "address": worker.address, "area": worker.area, "service": worker.service,
+                "leaving": worker.leaving,
+            }
+        for goneName in command.removed:
+            self.workers.pop(goneName, None)
+        for goneName in set(self.loads) - set(self.workers):
+            del self.loads[goneName]
+        self._show("workers", index, self.workers)
+        self._show("loads", index, self.loads)
+        return {"status": "done", "revision": index}
+
+    def _apply_weights(self, index: int, command: NameWeights) -> Outcome:
+        if command.line not in self.weights or not command.weights:
+            return {"status": "refused", "faults": [f"weights: no line {command.line!r}, or no name"]}
+        self.weights[command.line] = {"weights": command.weights, "revision": index}
+        self._show("weights", index, self.weights)
+        return {"status": "done", "revision": index}
+
+    def _apply_bump(self, index: int, command: BumpPart) -> Outcome:
+        volume = f"{command.owner}/{command.line}"
+        volumeParts = self.parts.setdefault(volume, {})
+        volumeParts[command.part] = volumeParts.get(command.part, 1) + 1
+        self.volumeIndexes[volume] = index
+        return {"status": "done", "revision": volumeParts[command.part], "index": index}
+
+    def _apply_hold(self, index: int, command: TakeHold) -> Outcome:
+        held = self.holds.get(command.worker)
+        if command.worker not in self.workers:
+            return {"status": "refused", "faults": [f"no worker {command.worker!r}"]}
+        if held is not None and held["holder"] == command.holder and held["fence"] == command.renewFence:
+            return {"status": "done", "fence": held["fence"]}
+        # Another holder comes in only if the leader judged this very fence waited out (§7.2).
+        isExpired = held is None or (command.expired and held["fence"] == command.renewFence)
+        if held is not None and not isExpired:
+            return {"status": "held", "holder": held["holder"], "fence": held["fence"]}
+        self.holds[command.worker] = {"holder": command.holder, "fence": index}
+        return {"status": "done", "fence": index}
+
+    def _apply_confirm(self, index: int, command: ConfirmLoad) -> Outcome:
+        held = self.holds.get(command.worker)
+        if held is None or held["fence"] != command.fence or command.worker not in self.workers:
+            return {"status": "refused", "faults": ["an older fence"]}
+        self.loads[command.worker] = {
+            "line": command.line, "life": command.life, "fence": command.fence,
+            "weightsRevision": command.weightsRevision, "sequence": command.sequence,
+            "weights": command.weights,
+        }
+        self._show("loads", index, self.loads)
+        return {"status": "done", "revision": index}
+
+    def _show(self, name: str, index: int, value: Any) -> None:
+        body = to_body(value)
+        if self.sections[name][1] != body:
+            self.sections[name] = (index, body)
+
+
+class FleetTest(unittest.TestCase):
+    def test_repeats_races_and_digests(self) -> None:
+        fleet = Fleet()
+
+        def run(index: int, transaction: bytes, **body: Any) -> Outcome:
+            return fleet.apply(index, Command(transaction=transaction, **body).SerializeToString())
+
+        first = run(1, b"a", apply=ApplyDescription(baseRevision=0, description=b'{"lines":[]}'))
+        loser = run(2, b"b", apply=ApplyDescription(baseRevision=0, description=b"{}"))
+        again = run(3, b"a", apply=ApplyDescription(baseRevision=0, description=b'{"lines":[]}'))
+        self.assertEqual((first, again), ({"status": "done", "revision": 1},) * 2)
+        self.assertEqual(loser, {"status": "conflict", "revision": 1})
+        bump = BumpPart(owner="tenant:t", line="l", part=7)
+        self.assertEqual(run(4, b"c", bump=bump)["revision"], 2)
+        self.assertEqual(run(5, b"c", bump=bump)["revision"], 2)
+        self.assertEqual(run(6, b"d", bump=bump)["revision"], 3)
+        run(7, b"", workers=SetWorkers(worker=[Worker(name="w", address="x", service="s")]))
+        self.assertEqual(run(8, b"", hold=TakeHold(worker="w", holder="n1"))["fence"], 8)
+        self.assertEqual(run(9, b"", hold=TakeHold(worker="w", holder="n2"))["status"], "held")
+        taken = run(10, b"", hold=TakeHold(worker="w", holder="n2", renewFence=8, expired=True))
+        self.assertEqual(taken, {"status": "done", "fence": 10})
+        stale = ConfirmLoad(worker="w", fence=8, weightsRevision=1)
+        self.assertEqual(run(11, b"", confirm=stale)["status"], "refused")
+        copy = Fleet()
+        copy.load_digest(fleet.take_digest())
+        self.assertEqual(copy.take_digest(), fleet.take_digest())
+        self.assertEqual(copy.revisions_of("tenant:t/l"), [(7, 3)])
--- /dev/null
+++ b/src/pearhead/anvil/main.py
@@ -0,0 +1,96 @@
+"""The `anvil` command (§3.4)."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import fire
+import picologging
+from result import Err
+from tornado.httpserver import HTTPServer
+
+from pearhead import PEARHEAD_RELEASE
+from pearhead.anvil.core import CoreProcess
+from pearhead.anvil.operatorapi import build_operator_api
+from pearhead.awl.clock import BootClock
+from pearhead.awl.daemon import open_logs, serve_until_stopped
+from pearhead.awl.description import MAXIMUM_DESCRIPTION
+from pearhead.awl.disk import FolderBusy, FolderDisk
+from pearhead.awl.socketnet import SocketNet, split_address
+from pearhead.awl.startup import Startup, end_with, read_startup
+from pearhead.vise.wal import WalCorrupt
+
+LOGGER = picologging.getLogger("pearhead")
+
+
+async def _serve(startup: Startup) -> int:
+    try:
+        disk = FolderDisk(Path(startup.dataFolder))
+    except (FolderBusy, OSError) as fault:
+        print(f"anvil: {fault}", file=sys.stderr)
+        return 2
+    failed = asyncio.Event()
+
+    def fail(reason: str) -> None:
+        LOGGER.error("anvil: Must stop: %s.", reason)
+        failed.set()
+
+    net = SocketNet(startup.address)
+    core = CoreProcess(
+        startup, BootClock(), net, disk, random.SystemRandom(), fail, time.time_ns() // 1_000
+    )
+    server = HTTPServer(
+        build_operator_api(core, startup), max_body_size=2 * MAXIMUM_DESCRIPTION,
+        max_header_size=startup.headerLimitBytes,
+    )
+    hostName, portNumber = split_address(startup.httpAddress)
+    try:
+        await net.open()
+        await core.start()
+        server.listen(portNumber, hostName)
+    except WalCorrupt as fault:
+        print(f"anvil: {startup.dataFolder}: {fault}", file=sys.stderr)
+        return 3
+    except OSError as fault:
+        print(f"anvil: can't start: {fault}", file=sys.stderr)
+        return 2
+    status = await serve_until_stopped(core.drain, failed)
+    server.stop()
+    core.stop()
+    net.close()
+    return status
+
+
+class AnvilCommand:
+    """A core process of pearhead."""
+
+    def run(self, startup: str = "", **flags: Any) -> None:
+        """Serves until SIGTERM. Flags are startup fields, such as --address=127.0.0.1:7001."""
+        checked = read_startup(startup, flags, needsFolder=True)
+        if isinstance(checked, Err):
+            return end_with("anvil", checked.err_value)
+        open_logs(checked.ok_value.logLevel)
+        raise SystemExit(asyncio.run(_serve(checked.ok_value)))
+
+    def check(self, startup: str = "", **flags: Any) -> None:
+        """Checks a startup file and flags, and lists every fault."""
+        checked = read_startup(startup, flags, needsFolder=True)
+        if isinstance(checked, Err):
+            return end_with("anvil", checked.err_value)
+        print("anvil: the startup is sound")
+
+
+def main() -> None:
+    if sys.argv[1:] == ["--version"]:
+        print(f"anvil {PEARHEAD_RELEASE}")
+        return
+    fire.Fire(AnvilCommand, name="anvil")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/pearhead/anvil/operatorapi.py
@@ -0,0 +1,140 @@
+"""OperatorApi (§4.5): the HTTP edge of a core towards operators and the platform."""
+
+from __future__ import annotations
+
+import hmac
+import json
+from typing import Any
+
+from tornado.web import Application, RequestHandler
+
+from pearhead.anvil.core import CoreProcess
+from pearhead.awl.startup import Startup
+from pearhead.awl.wire_pb2 import Command, CommandResult, Worker
+
+STATUS_CODES = {"done": 200, "conflict": 409, "refused": 422, "held": 409, "unavailable": 503, "unknown": 504}
+
+
+class OperatorHandler(RequestHandler):
+    def initialize(self, core: CoreProcess, startup: Startup) -> None:
+        self.core = core
+        self.startup = startup
+
+    def prepare(self) -> None:
+        wantedKey = self.startup.operatorKey
+        givenKey = self.request.headers.get("Authorization", "").removeprefix("Bearer ")
+        if wantedKey and not hmac.compare_digest(wantedKey.encode(), givenKey.encode()):
+            self.set_status(401)
+            self.finish({"status": "refused", "faults": ["a wrong operator key"]})
+
+    def read_body(self) -> dict[str, Any] | None:
+        try:
+            data = json.loads(self.request.body)
+        except (ValueError, RecursionError):
+            data = None
+        if not isinstance(data, dict):
+            self.set_status(400)
+            self.finish({"status": "refused", "faults": ["the body must be a JSON object"]})
+            return None
+        return data
+
+    async def execute(self, command: Command) -> None:
+        result: CommandResult = await self.core.execute(command)
+        self.set_status(STATUS_CODES.get(result.status, 500))
+        body = json.loads(result.body or b"{}")
+        self.finish({**body, "status": result.status})
+
+    def refuse(self, fault: str) -> None:
+        self.set_status(400)
+        self.finish({"status": "refused", "faults": [fault]})
+
+
+class ApplyHandler(OperatorHandler):
+    async def post(self) -> None:
+        data = self.read_body()
+        if data is None:
+            return
+        try:
+            command = Command(transaction=str(data["applyId"]).encode())
+            command.apply.baseRevision = int(data["base"])
+            command.apply.description = json.dumps(data["description"]).encode()
+            command.apply.by = str(data.get("by", ""))
+        except (KeyError, ValueError, TypeError) as fault:
+            return self.refuse(f"applyId, base and description are needed: {fault!r}")
+        await self.execute(command)
+
+
+class WorkersHandler(OperatorHandler):
+    async def post(self) -> None:
+        data = self.read_body()
+        if data is None:
+            return
+        try:
+            command = Command()
+            command.workers.partial = bool(data.get("partial", False))
+            command.workers.removed.extend(data.get("removed", []))
+            for item in data.get("workers", []):
+                command.workers.worker.append(Worker(**item))
+            command.workers.SetInParent()
+        except (ValueError, TypeError) as fault:
+            return self.refuse(f"workers: {fault}")
+        await self.execute(command)
+
+
+class WeightsHandler(OperatorHandler):
+    async def post(self) -> None:
+        data = self.read_body()
+        if data is None:
+            return
+        command = Command(transaction=str(data.get("applyId", "")).encode())
+        command.weights.line = str(data.get("line", ""))
+        command.weights.weights = str(data.get("weights", ""))
+        await self.execute(command)
+
+
+class FleetHandler(OperatorHandler):
+    async def get(self) -> None:
+        state = await self.core.read_fleet()
+        if state is None:
+            self.set_status(503)
+            self.finish({"status": "unavailable", "leader": self._leader_http()})
+            return
+        self.finish(state)
+
+    def _leader_http(self) -> str:
+        leaderAddress = self.core.raft.leader_address()
+        records = self.core.directory.members("anvil")
+        return next((r.httpAddress for r in records if r.address == leaderAddress), "")
+
+
+class OutcomeHandler(OperatorHandler):
+    async def get(self, applyId: str) -> None:
+        """An apply whose acknowledgement was lost is asked after by its id (§4.5)."""
+        if not await self.core.confirm():
+            self.set_status(503)
+            self.finish({"status": "unavailable"})
+            return
+        outcome = self.core.fleet.transactions.get(applyId.encode().hex())
+        if outcome is None:
+            self.set_status(404)
+        self.finish(outcome or {"status": "unseen"})
+
+
+class SoundnessHandler(OperatorHandler):
+    def get(self) -> None:
+        self.finish(self.core.soundness())
+
+
+def build_operator_api(core: CoreProcess, startup: Startup) -> Application:
+    parts = {"core": core, "startup": startup}
+    return Application(
+        [
+            ("/apply", ApplyHandler, parts),
+            ("/outcome/([A-Za-z0-9_.-]{1,64})", OutcomeHandler, parts),
+            ("/workers", WorkersHandler, parts),
+            ("/weights", WeightsHandler, parts),
+            ("/fleet", FleetHandler, parts),
+            ("/soundness", SoundnessHandler, parts),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/src/pearhead/awl/description.py
@@ -0,0 +1,172 @@
+"""Description (§5.1): what operators write in one file and apply as a whole."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Err, Result
+
+from pearhead.awl.checked import read_checked
+from pearhead.awl.clock import SECOND
+
+MAXIMUM_DESCRIPTION = 8 * 1024 * 1024
+EVERY_TENANT = "*"
+
+
+@dataclass(frozen=True)
+class Line:
+    name: str
+    weights: str
+
+
+@dataclass(frozen=True)
+class Service:
+    name: str
+    role: str
+
+
+@dataclass(frozen=True)
+class CapabilityEntry:
+    name: str
+    line: str
+    tenants: list[str]
+    kinds: list[str]
+    service: str
+    repeatable: bool = False
+    deadlineMicros: int = 8 * SECOND
+    concurrency: int = 64
+    queueLimit: int = 128
+
+
+@dataclass(frozen=True)
+class Tenant:
+    name: str
+    keyHashes: list[str]
+    group: str = ""
+
+
+@dataclass(frozen=True)
+class Limits:
+    retryShare: float = 0.1
+    prefixParts: int = 256
+
+
+@dataclass(frozen=True)
+class Description:
+    lines: list[Line] = field(default_factory=list)
+    services: list[Service] = field(default_factory=list)
+    entries: list[CapabilityEntry] = field(default_factory=list)
+    tenants: list[Tenant] = field(default_factory=list)
+    limits: Limits = field(default_factory=Limits)
+
+
+def owner_of(tenant: Tenant) -> str:
+    """Who owns kept parts: a sharing group, or the tenant alone. The marks keep the two apart."""
+    return f"group:{tenant.group}" if tenant.group else f"tenant:{tenant.name}"
+
+
+def read_description(descriptionBytes: bytes) -> Result[Description, list[str]]:
+    if len(descriptionBytes) > MAXIMUM_DESCRIPTION:
+        return Err([f"file: over {MAXIMUM_DESCRIPTION} bytes"])
+    try:
+        data: Any = json.loads(descriptionBytes)
+    except ValueError as fault:
+        return Err([f"file: not JSON: {fault}"])
+    except RecursionError:
+        return Err(["file: nested too deep"])
+    checked = read_checked(Description, data)
+    if isinstance(checked, Err):
+        return checked
+    faults = find_faults(checked.ok_value)
+    return Err(faults) if faults else checked
+
+
+def find_faults(description: Description) -> list[str]:
+    faults: list[str] = []
+    lineNames = _check_names("lines", (x.name for x in description.lines), faults)
+    serviceNames = _check_names("services", (x.name for x in description.services), faults)
+    tenantNames = _check_names("tenants", (x.name for x in description.tenants), faults)
+    _check_names("entries", (x.name for x in description.entries), faults)
+    for position, line in enumerate(description.lines):
+        if not line.weights:
+            faults.append(f"lines[{position}].weights: must not be empty")
+    for position, service in enumerate(description.services):
+        if service.role not in ("model", "application", "store"):
+            faults.append(f"services[{position}].role: must be model, application or store")
+    heldHashes: dict[str, str] = {}
+    for position, tenant in enumerate(description.tenants):
+        for keyHash in tenant.keyHashes:
+            if len(keyHash) != 64 or set(keyHash) - set("0123456789abcdef"):
+                faults.append(f"tenants[{position}].keyHashes: must be SHA-256 in hexadecimal")
+            elif heldHashes.setdefault(keyHash, tenant.name) != tenant.name:
+                faults.append(f"tenants[{position}].keyHashes: a key of {heldHashes[keyHash]} too")
+    roles = {s.name: s.role for s in description.services}
+    lineOfService: dict[str, str] = {}
+    matchedBy: dict[tuple[str, str, str], str] = {}
+    for position, entry in enumerate(description.entries):
+        path = f"entries[{position}]"
+        if entry.line not in lineNames:
+            faults.append(f"{path}.line: no line {entry.line!r}")
+        if entry.service not in serviceNames:
+            faults.append(f"{path}.service: no service {entry.service!r}")
+        if roles.get(entry.service) == "store":
+            faults.append(f"{path}.service: {entry.service!r} is a store and runs no jobs")
+        if roles.get(entry.service) == "model":
+            otherLine = lineOfService.setdefault(entry.service, entry.line)
+            if otherLine != entry.line:
+                faults.append(f"{path}.line: workers of {entry.service!r} serve {otherLine!r} already")
+        if not entry.tenants:
+            faults.append(f"{path}.tenants: must not be empty")
+        if not entry.kinds:
+            faults.append(f"{path}.kinds: must not be empty")
+        for tenantName in entry.tenants:
+            if tenantName != EVERY_TENANT and tenantName not in tenantNames:
+                faults.append(f"{path}.tenants: no tenant {tenantName!r}")
+        for numberName in ("deadlineMicros", "concurrency", "queueLimit"):
+            if getattr(entry, numberName) <= 0:
+                faults.append(f"{path}.{numberName}: must be above zero")
+        for tenantName in entry.tenants:
+            for kind in entry.kinds:
+                otherName = matchedBy.setdefault((entry.line, tenantName, kind), entry.name)
+                if otherName != entry.name:
+                    faults.append(f"{path}: {tenantName} {entry.line} {kind} is matched by {otherName} too")
+    if not 0 <= description.limits.retryShare <= 0.1:
+        faults.append("limits.retryShare: must lie between 0 and 0.1")
+    if description.limits.prefixParts <= 0:
+        faults.append("limits.prefixParts: must be above zero")
+    return faults
+
+
+def _check_names(path: str, names: Iterable[str], faults: list[str]) -> set[str]:
+    seenNames: set[str] = set()
+    for position, name in enumerate(names):
+        if not name or len(name) > 200 or name == EVERY_TENANT or "/" in name:
+            faults.append(f"{path}[{position}].name: must be 1 to 200 signs, no '/', and not '*'")
+        if name in seenNames:
+            faults.append(f"{path}[{position}].name: {name!r} is named twice")
+        seenNames.add(name)
+    return seenNames
+
+
+class DescriptionTest(unittest.TestCase):
+    def test_every_fault_of_a_file_is_told(self) -> None:
+        data = {
+            "lines": [{"name": "a", "weights": "w"}, {"name": "a", "weights": ""}],
+            "services": [{"name": "s", "role": "model"}],
+            "tenants": [{"name": "t", "keyHashes": ["0"]}],
+            "entries": [
+                {"name": "e", "line": "b", "tenants": [], "kinds": ["k"], "service": "s"},
+                {"name": "f", "line": "a", "tenants": ["u"], "kinds": [], "service": "z", "concurrency": 0},
+            ],
+        }
+        faults = read_description(json.dumps(data).encode()).unwrap_err()
+        self.assertEqual(sorted(f.split(":")[0] for f in faults), sorted([
+            "lines[1].name", "lines[1].weights", "tenants[0].keyHashes", "entries[0].line",
+            "entries[0].tenants", "entries[1].kinds", "entries[1].tenants", "entries[1].service",
+            "entries[1].concurrency",
+        ]))
+        self.assertIn("over", read_description(b" " * (MAXIMUM_DESCRIPTION + 1)).unwrap_err()[0])
--- /dev/null
+++ b/src/pearhead/awl/directory.py
@@ -0,0 +1,102 @@
+"""Directory (§3.2): soft records of every process, told by hellos and aged by holding time."""
+
+from __future__ import annotations
+
+import random
+
+from bitarray import bitarray
+
+from pearhead.awl.clock import SECOND, Clock, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.wire_pb2 import Hello, HelloResult, Record
+
+HELLO_MICROS = SECOND
+LIFETIME_MICROS = 5 * SECOND
+FRIEND_COUNT = 2
+RECORD_LIMIT = 1_000
+
+
+class Directory:
+    def __init__(
+        self, selfRecord: Record, seedAddresses: list[str], courier: Courier, clock: Clock,
+        chance: random.Random,
+    ) -> None:
+        self.selfRecord = selfRecord
+        self.seedAddresses = [a for a in seedAddresses if a != selfRecord.address]
+        self.courier = courier
+        self.clock = clock
+        self.chance = chance
+        self.records: dict[str, tuple[Record, int]] = {}
+        courier.on_tell("hello", self._take_hello)
+        courier.on_tell("helloResult", self._take_hello_result)
+
+    def members(self, role: str | None = None) -> list[Record]:
+        bornLimit = self.clock.now() - LIFETIME_MICROS
+        return [
+            record
+            for _, (record, bornMicros) in sorted(self.records.items())
+            if bornMicros >= bornLimit and (role is None or record.role == role)
+        ]
+
+    def listeners(self, channelNumber: int) -> list[str]:
+        """Addresses of the members that joined a channel (§6.2)."""
+        foundAddresses = []
+        for record in self.members():
+            joinedBits = bitarray()
+            joinedBits.frombytes(record.channels)
+            if channelNumber < len(joinedBits) and joinedBits[channelNumber]:
+                foundAddresses.append(record.address)
+        return foundAddresses
+
+    async def run(self) -> None:
+        while True:
+            hello = Hello(known=self._aged_records())
+            hello.self.CopyFrom(self.selfRecord)
+            for targetAddress in self._nominate_targets():
+                self.courier.tell(targetAddress, "hello", hello)
+            await rest(self.clock, HELLO_MICROS)
+
+    def _nominate_targets(self) -> list[str]:
+        coreAddresses = [r.address for r in self.members("anvil")]
+        otherAddresses = [r.address for r in self.members() if r.role != "anvil"]
+        friendAddresses = self.chance.sample(otherAddresses, min(FRIEND_COUNT, len(otherAddresses)))
+        # Seeds serve first contact only (§3.2).
+        return (coreAddresses or self.seedAddresses) + friendAddresses
+
+    def _aged_records(self) -> list[Record]:
+        """A relay adds its holding time, so no record lives longer for being passed on."""
+        agedRecords = []
+        for record in self.members():
+            agedRecord = Record()
+            agedRecord.CopyFrom(record)
+            agedRecord.ageMicros = self.clock.now() - self.records[record.identity][1]
+            agedRecords.append(agedRecord)
+        return agedRecords
+
+    def _take_hello(self, identity: str, address: str, hello: Hello) -> None:
+        self._take_record(hello.self, 0)
+        self._take_known(list(hello.known))
+        helloResult = HelloResult(known=self._aged_records())
+        selfRecord = helloResult.known.add()
+        selfRecord.CopyFrom(self.selfRecord)
+        self.courier.tell(address, "helloResult", helloResult)
+
+    def _take_hello_result(self, identity: str, address: str, helloResult: HelloResult) -> None:
+        self._take_known(list(helloResult.known))
+
+    def _take_known(self, knownRecords: list[Record]) -> None:
+        for record in knownRecords:
+            self._take_record(record, record.ageMicros)
+
+    def _take_record(self, record: Record, ageMicros: int) -> None:
+        if record.identity == self.selfRecord.identity:
+            return
+        bornMicros = self.clock.now() - ageMicros
+        heldRecord, heldBorn = self.records.get(record.identity, (None, -1))
+        if heldRecord is not None and record.incarnation < heldRecord.incarnation:
+            return
+        if heldRecord is None or bornMicros > heldBorn:
+            self.records[record.identity] = (record, bornMicros)
+            if len(self.records) > RECORD_LIMIT:
+                oldestIdentity = min(self.records, key=lambda i: self.records[i][1])
+                del self.records[oldestIdentity]
--- /dev/null
+++ b/src/pearhead/awl/net.py
@@ -0,0 +1,22 @@
+"""Net (§2.1): frames over a kept connection, and datagrams. Neither promises delivery."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+MAXIMUM_DATAGRAM = 1_200
+MAXIMUM_FRAME = 16 * 1024 * 1024
+
+Receiver = Callable[[bytes], None]
+
+
+class Net(Protocol):
+    def send(self, targetAddress: str, frameBytes: bytes) -> None:
+        """Sends a frame in order on one connection; a broken connection loses what it held."""
+
+    def cast(self, targetAddress: str, datagramBytes: bytes) -> None:
+        """Sends one datagram, which may be lost, doubled or overtaken."""
+
+    def listen(self, frameReceiver: Receiver) -> None:
+        """Names the one receiver of frames and datagrams."""
--- /dev/null
+++ b/src/pearhead/awl/startup.py
@@ -0,0 +1,106 @@
+"""Startup (§3.3): a process learns its place from a file, flags over it, checked as a whole."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import sys
+import tomllib
+import unittest
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+from pearhead.awl.checked import read_checked
+from pearhead.awl.clock import SECOND
+
+AnyT = TypeVar("AnyT")
+
+
+@dataclass(frozen=True)
+class Startup:
+    """What every daemon needs; `anvil` and `lathe` share one shape so that one page explains it."""
+
+    address: str
+    httpAddress: str
+    area: str
+    seeds: list[str]
+    dataFolder: str = ""
+    founders: list[str] = field(default_factory=list)
+    operatorKey: str = ""
+    logLevel: str = "INFO"
+    termMicros: int = 2 * SECOND
+    tableLifetimeMicros: int = 30 * SECOND
+    holdMicros: int = 3 * SECOND
+    lostAfterMicros: int = 5 * SECOND
+    drainMicros: int = 30 * SECOND
+    bodyLimitBytes: int = 1_048_576
+    headerLimitBytes: int = 16_384
+    oldWeightsMicros: int = 8 * SECOND
+
+
+def check_startup(startup: Startup, needsFolder: bool) -> list[str]:
+    faults = []
+    addressFields = [("address", startup.address), ("httpAddress", startup.httpAddress)]
+    addressFields += [(f"seeds[{i}]", a) for i, a in enumerate(startup.seeds)]
+    addressFields += [(f"founders[{i}]", a) for i, a in enumerate(startup.founders)]
+    for path, address in addressFields:
+        hostName, colon, portText = address.rpartition(":")
+        if not colon or not hostName or not portText.isdigit() or not 0 < int(portText) < 65_536:
+            faults.append(f"{path}: must be IP:PORT, not {address!r}")
+    if not startup.seeds:
+        faults.append("seeds: at least one address is needed, three are usual")
+    if not startup.area:
+        faults.append("area: must not be empty")
+    if needsFolder and not startup.dataFolder:
+        faults.append("dataFolder: a core process needs one")
+    if startup.logLevel not in ("DEBUG", "INFO", "WARNING", "ERROR"):
+        faults.append("logLevel: must be DEBUG, INFO, WARNING or ERROR")
+    for startupField in dataclasses.fields(startup):
+        isSize = startupField.name.endswith(("Micros", "Bytes"))
+        if isSize and getattr(startup, startupField.name) <= 0:
+            faults.append(f"{startupField.name}: must be above zero")
+    return faults
+
+
+def read_startup(filePath: str, flags: dict[str, Any], needsFolder: bool) -> Result[Startup, list[str]]:
+    data: dict[str, Any] = {}
+    if filePath:
+        try:
+            fileText = Path(filePath).read_text(encoding="utf-8")
+            data = json.loads(fileText) if filePath.endswith(".json") else tomllib.loads(fileText)
+        except (OSError, ValueError) as fault:
+            return Err([f"{filePath}: {fault}"])
+        if not isinstance(data, dict):
+            return Err([f"{filePath}: must hold one object"])
+    for name, value in flags.items():
+        isList = name in ("seeds", "founders") and isinstance(value, str)
+        data[name] = value.split(",") if isList else list(value) if isinstance(value, tuple) else value
+    checked = read_checked(Startup, data)
+    if isinstance(checked, Err):
+        return checked
+    faults = check_startup(checked.ok_value, needsFolder)
+    return Err(faults) if faults else Ok(checked.ok_value)
+
+
+def end_with(programName: str, faults: list[str]) -> None:
+    """One clear line a fault, a non-zero exit, no traceback."""
+    for fault in faults:
+        print(f"{programName}: {fault}", file=sys.stderr)
+    raise SystemExit(2)
+
+
+class StartupTest(unittest.TestCase):
+    def test_faults_are_all_told_and_flags_go_over_the_file(self) -> None:
+        flags: dict[str, Any] = {
+            "address": "127.0.0.1:70000", "httpAddress": "127.0.0.1:1", "area": "", "seeds": "x",
+            "termMicros": 0,
+        }
+        faults = read_startup("", flags, True).unwrap_err()
+        self.assertEqual([f.split(":")[0] for f in faults],
+                         ["address", "seeds[0]", "area", "dataFolder", "termMicros"])
+        flags.update(address="127.0.0.1:2", area="a", seeds="127.0.0.1:2,127.0.0.1:3", termMicros=5)
+        startup = read_startup("", flags, False).unwrap()
+        self.assertEqual((startup.seeds, startup.termMicros), (["127.0.0.1:2", "127.0.0.1:3"], 5))
--- /dev/null
+++ b/src/pearhead/awl/view.py
@@ -0,0 +1,149 @@
+"""View (§5.2): what a node knows of the fleet, an immutable table that is swapped whole."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import unittest
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import cached_property
+from typing import Any
+
+import dacite
+
+from pearhead.awl.checked import STRICT
+from pearhead.awl.description import EVERY_TENANT, CapabilityEntry, Description, Tenant
+from pearhead.awl.wire_pb2 import Section, ViewDelta
+
+SECTION_NAMES = ("description", "loads", "weights", "workers")
+EMPTY_BODY = b"{}"
+
+
+def hash_sections(sections: Mapping[str, tuple[int, bytes]]) -> str:
+    viewHash = hashlib.blake2b(digest_size=16)
+    for name, (index, body) in sorted(sections.items()):
+        viewHash.update(f"{name}:{index}:{len(body)}:".encode())
+        viewHash.update(body)
+    return viewHash.hexdigest()
+
+
+@dataclass(frozen=True)
+class WorkerFact:
+    name: str
+    address: str
+    area: str
+    service: str
+    leaving: bool
+
+
+@dataclass(frozen=True)
+class LoadFact:
+    line: str
+    life: str
+    fence: int
+    weightsRevision: int
+    sequence: int
+    weights: str = ""
+
+
+@dataclass(frozen=True)
+class WeightsFact:
+    weights: str
+    revision: int
+
+
+@dataclass(frozen=True)
+class View:
+    index: int = 0
+    sections: Mapping[str, tuple[int, bytes]] = field(
+        default_factory=lambda: {name: (0, EMPTY_BODY) for name in SECTION_NAMES}
+    )
+
+    @cached_property
+    def hash(self) -> str:
+        return hash_sections(self.sections)
+
+    def _section(self, name: str) -> Any:
+        return json.loads(self.sections[name][1])
+
+    @cached_property
+    def descriptionRevision(self) -> int:
+        return int(self._section("description").get("revision", 0))
+
+    @cached_property
+    def description(self) -> Description:
+        return dacite.from_dict(Description, self._section("description").get("description", {}), STRICT)
+
+    @cached_property
+    def workers(self) -> dict[str, WorkerFact]:
+        return {n: WorkerFact(n, **w) for n, w in self._section("workers").items()}
+
+    @cached_property
+    def loads(self) -> dict[str, LoadFact]:
+        return {n: LoadFact(**fact) for n, fact in self._section("loads").items()}
+
+    @cached_property
+    def weights(self) -> dict[str, WeightsFact]:
+        return {n: WeightsFact(**w) for n, w in self._section("weights").items()}
+
+    @cached_property
+    def tenantByHash(self) -> dict[str, Tenant]:
+        return {h: t for t in self.description.tenants for h in t.keyHashes}
+
+    @cached_property
+    def entryByMatch(self) -> dict[tuple[str, str, str], CapabilityEntry]:
+        return {
+            (e.line, t, k): e for e in self.description.entries for t in e.tenants for k in e.kinds
+        }
+
+    @cached_property
+    def lineNames(self) -> frozenset[str]:
+        return frozenset(x.name for x in self.description.lines)
+
+    def match(self, lineName: str, tenantName: str, kind: str) -> CapabilityEntry | None:
+        """An entry that names the tenant goes before one for every tenant."""
+        return self.entryByMatch.get((lineName, tenantName, kind)) or self.entryByMatch.get(
+            (lineName, EVERY_TENANT, kind)
+        )
+
+    def with_delta(self, delta: ViewDelta) -> View | None:
+        """The next view, or None if the delta has another base or its hash does not come out."""
+        if delta.index < self.index:
+            return None
+        if delta.baseIndex != 0 and delta.baseIndex != self.index:
+            return None
+        changed = dict(self.sections) if delta.baseIndex else dict(View().sections)
+        for section in delta.section:
+            changed[section.name] = (section.index, section.body)
+        if hash_sections(changed) != delta.hash:
+            return None
+        return View(delta.index, changed)
+
+    def delta_since(self, haveIndex: int) -> ViewDelta | None:
+        if haveIndex >= self.index:
+            return None
+        delta = ViewDelta(baseIndex=0, index=self.index, hash=self.hash)
+        for name, (sectionIndex, body) in sorted(self.sections.items()):
+            if sectionIndex > 0:
+                delta.section.append(Section(name=name, index=sectionIndex, body=body))
+        return delta
+
+
+class ViewTest(unittest.TestCase):
+    def test_a_delta_with_a_wrong_base_or_hash_is_not_taken(self) -> None:
+        sections = dict(View().sections)
+        sections["workers"] = (5, b'{"w":{"address":"a","area":"z","service":"s","leaving":false}}')
+        whole = ViewDelta(index=5, hash=hash_sections(sections))
+        whole.section.append(Section(name="workers", index=5, body=sections["workers"][1]))
+        view = View().with_delta(whole)
+        assert view is not None
+        self.assertEqual(view.workers["w"].area, "z")
+        sections["weights"] = (7, b"{}")
+        change = ViewDelta(baseIndex=5, index=7, hash=hash_sections(sections))
+        change.section.append(Section(name="weights", index=7, body=b"{}"))
+        self.assertIsNotNone(view.with_delta(change))
+        self.assertIsNone(View().with_delta(change), "another base")
+        change.hash = "00"
+        self.assertIsNone(view.with_delta(change), "another hash")
+        self.assertIsNone(view.with_delta(ViewDelta(index=4, hash=view.hash)), "never downward")
--- /dev/null
+++ b/src/pearhead/jig/caller.py
@@ -0,0 +1,93 @@
+"""Caller (§9.4): sends jobs and checks each stream for owner, order and completeness."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from pearhead.jig.deployment import Deployment, draw_job, tenant_key
+from pearhead.jig.workermodel import expected_lines, expected_text
+
+
+def find_stream_faults(job: dict[str, Any], lines: list[dict[str, Any]]) -> list[str]:
+    """What is wrong with a stream that was closed as whole."""
+    faults = [f"a line of {x.get('job')} came to {job['jobId']}" for x in lines if x.get("job") != job["jobId"]]
+    texts = [x["text"] for x in lines if "text" in x]
+    wantedTexts = [expected_text(job["body"], n) for n in range(expected_lines(job["body"]))]
+    if texts != wantedTexts:
+        faults.append(f"{job['jobId']}: wrong, missing or disordered lines {texts}")
+    if not lines or not lines[-1].get("end") or lines[-1].get("lines") != len(wantedTexts):
+        faults.append(f"{job['jobId']}: closed as whole without its closing line")
+    return faults
+
+
+@dataclass
+class CallerReport:
+    outcomes: Counter[str] = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+    refused: set[str] = field(default_factory=set)
+    finished: set[str] = field(default_factory=set)
+    prefixTokens: int = 0
+    reusedTokens: int = 0
+
+
+class Caller:
+    def __init__(self, deployment: Deployment, nodeAddresses: list[str], chance: random.Random) -> None:
+        self.deployment = deployment
+        self.nodeAddresses = nodeAddresses
+        self.chance = chance
+        self.report = CallerReport()
+        AsyncHTTPClient.configure(None, max_clients=1_000)
+
+    async def run(self, jobCount: int, atOnce: int, firstNumber: int = 0) -> CallerReport:
+        numbers = iter(range(firstNumber, firstNumber + jobCount))
+
+        async def call_on() -> None:
+            for number in numbers:
+                await self._call(number)
+
+        await asyncio.gather(*(call_on() for _ in range(atOnce)))
+        return self.report
+
+    async def _call(self, number: int) -> None:
+        tenantName, job = draw_job(self.deployment, self.chance, number)
+        chunks: list[bytes] = []
+        request = HTTPRequest(
+            f"http://{self.chance.choice(self.nodeAddresses)}/v1/jobs", method="POST", body=json.dumps(job),
+            headers={"Authorization": f"Bearer {tenant_key(self.deployment, tenantName)}"},
+            request_timeout=20, follow_redirects=False, streaming_callback=chunks.append,
+        )
+        try:
+            await AsyncHTTPClient().fetch(request)
+        except HTTPClientError as fault:
+            bodyBytes = b"".join(chunks)
+            self._take_failure(job, fault.code, bodyBytes)
+            return
+        except (OSError, ValueError):
+            self.report.outcomes["not reached or cut"] += 1
+            return
+        lines = [json.loads(x) for x in b"".join(chunks).splitlines()]
+        self.report.faults.extend(find_stream_faults(job, lines))
+        self.report.outcomes["done"] += 1
+        self.report.finished.add(job["jobId"])
+        usage = lines[-1].get("usage", {}) if lines else {}
+        self.report.prefixTokens += usage.get("prompt_tokens", 0)
+        self.report.reusedTokens += usage.get("prompt_tokens_details", {}).get("cached_tokens", 0)
+
+    def _take_failure(self, job: dict[str, Any], status: int, bodyBytes: bytes) -> None:
+        try:
+            answer = json.loads(bodyBytes)
+        except ValueError:
+            answer = {}
+        if status == 599 or "error" not in answer:
+            self.report.outcomes["not reached or cut"] += 1
+            return
+        self.report.outcomes[answer["error"]] += 1
+        if answer["ran"] == "not_run":
+            self.report.refused.add(job["jobId"])
--- /dev/null
+++ b/src/pearhead/jig/main.py
@@ -0,0 +1,114 @@
+"""The `jig` command (§9): stand-ins, a one-machine fleet, callers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+
+import fire
+from tornado.httpserver import HTTPServer
+
+from pearhead import PEARHEAD_RELEASE
+from pearhead.awl.socketnet import split_address
+from pearhead.jig.caller import Caller
+from pearhead.jig.deployment import description_text
+from pearhead.jig.launcher import Launcher, deployment_named
+from pearhead.jig.standin import build_stand_in
+
+SIGNALS = {"kill": signal.SIGKILL, "freeze": signal.SIGSTOP, "wake": signal.SIGCONT}
+
+
+class JigCommand:
+    """Tries a fleet out on one machine."""
+
+    def up(self, folder: str, deployment: str = "academy", nodes: int = 9, workers: int = 0) -> None:
+        """Starts a whole fleet in a folder, gives it its description, and waits until it serves."""
+        chosenDeployment = deployment_named(deployment)
+        launcher = Launcher(folder)
+        if not launcher.plan:
+            launcher.make_plan(
+                chosenDeployment, nodes, workers or chosenDeployment.workerCount, chosenDeployment.coreCount
+            )
+        launcher.up()
+        launcher.set_up()
+        launcher.wait_ready()
+        print("cores  " + ",".join(launcher.addresses_of("anvil")))
+        print("nodes  " + ",".join(launcher.addresses_of("lathe")))
+
+    def down(self, folder: str) -> None:
+        """Stops every process of the fleet."""
+        Launcher(folder).down()
+
+    def status(self, folder: str) -> None:
+        """Shows each process and whether it lives."""
+        launcher = Launcher(folder)
+        for name, process in launcher.plan.get("processes", {}).items():
+            lives = "lives" if launcher.is_alive(name) else "is down"
+            print(f"{name:<10} {process['program']:<12} {process['httpAddress']:<22} {lives}")
+
+    def start(self, folder: str, name: str) -> None:
+        """Starts one process again."""
+        Launcher(folder).start(name)
+
+    def stop(self, folder: str, name: str) -> None:
+        """Stops one process as planned work does."""
+        Launcher(folder).stop(name)
+
+    def kill(self, folder: str, name: str) -> None:
+        """Kills one process."""
+        Launcher(folder).send_signal(name, SIGNALS["kill"])
+
+    def freeze(self, folder: str, name: str) -> None:
+        """Freezes one process."""
+        Launcher(folder).send_signal(name, SIGNALS["freeze"])
+
+    def wake(self, folder: str, name: str) -> None:
+        """Wakes a frozen process."""
+        Launcher(folder).send_signal(name, SIGNALS["wake"])
+
+    def call(self, folder: str, jobs: int = 500, at_once: int = 20, seed: int = 1, first: int = 0) -> None:
+        """Sends jobs to the nodes and checks every stream."""
+        launcher = Launcher(folder)
+        caller = Caller(
+            deployment_named(launcher.plan["deployment"]), launcher.addresses_of("lathe"), random.Random(seed)
+        )
+        report = asyncio.run(caller.run(jobs, at_once, first))
+        for outcome, count in sorted(report.outcomes.items()):
+            print(f"{outcome}: {count}")
+        print(f"prefix tokens: {report.prefixTokens}, reused: {report.reusedTokens}")
+        print(f"faults: {len(report.faults)}")
+        for fault in report.faults[:20]:
+            print(f"  {fault}")
+        if report.faults:
+            raise SystemExit(1)
+
+    def description(self, deployment: str) -> None:
+        """Prints the description file of an example deployment."""
+        print(description_text(deployment_named(deployment)), end="")
+
+    def stand_in(self, role: str, address: str, store: str = "") -> None:
+        """Serves as a worker, a store or an application service."""
+
+        async def serve() -> None:
+            hostName, portNumber = split_address(address)
+            server = HTTPServer(build_stand_in(role, store), max_body_size=8 * 1024 * 1024)
+            server.listen(portNumber, hostName)
+            stopEvent = asyncio.Event()
+            for signalNumber in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(signalNumber, stopEvent.set)
+            await stopEvent.wait()
+
+        asyncio.run(serve())
+
+
+def main() -> None:
+    if sys.argv[1:] == ["--version"]:
+        print(f"jig {PEARHEAD_RELEASE}")
+        return
+    fire.Fire(JigCommand, name="jig")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/pearhead/jig/standin.py
@@ -0,0 +1,189 @@
+"""StandIn (§9.1): worker, store and application service over HTTP, by their published formats."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from pearhead.awl.clock import SECOND, BootClock, rest
+from pearhead.jig.workermodel import (
+    FETCH_MICROS_A_TOKEN,
+    ApplicationModel,
+    Kept,
+    StoreModel,
+    WorkerModel,
+    WorkerRefusal,
+)
+
+
+class HttpFetchLink:
+    def __init__(self, storeAddress: str) -> None:
+        self.storeAddress = storeAddress
+        self.slowness = 1
+        self.clock = BootClock()
+        self.putTasks: set[asyncio.Task[None]] = set()
+
+    async def fetch(self, remoteAddress: str, key: str, limitMicros: int) -> Kept | None:
+        request = HTTPRequest(
+            f"http://{remoteAddress}/v1/kv/{key}", request_timeout=limitMicros / SECOND,
+            follow_redirects=False,
+        )
+        try:
+            response = await AsyncHTTPClient().fetch(request)
+            kept = Kept(**json.loads(response.body))
+        except (HTTPClientError, OSError, ValueError, TypeError):
+            return None
+        linkMicros = kept.tokens * FETCH_MICROS_A_TOKEN * self.slowness
+        await rest(self.clock, min(linkMicros, limitMicros))
+        return kept if linkMicros <= limitMicros else None
+
+    async def keep_in_store(self, key: str, kept: Kept) -> None:
+        if not self.storeAddress:
+            return
+        putTask = asyncio.ensure_future(self._put(key, kept))
+        self.putTasks.add(putTask)
+        putTask.add_done_callback(self.putTasks.discard)
+
+    async def _put(self, key: str, kept: Kept) -> None:
+        request = HTTPRequest(
+            f"http://{self.storeAddress}/v1/kv/{key}", method="PUT", body=json.dumps(vars(kept)),
+            follow_redirects=False, request_timeout=1.0,
+        )
+        try:
+            await AsyncHTTPClient().fetch(request)
+        except (HTTPClientError, OSError):
+            return
+
+
+class CompletionsHandler(RequestHandler):
+    def initialize(self, model: WorkerModel | ApplicationModel) -> None:
+        self.model = model
+        self.runTask: asyncio.Task[Any] | None = None
+
+    async def post(self) -> None:
+        self.runTask = asyncio.current_task()
+        request = json.loads(self.request.body)
+        upstreamId = self.request.headers["X-Request-Id"]
+        isWhole = False
+        try:
+            async for event in self.model.run(request, upstreamId):
+                self.set_header("Content-Type", "text/event-stream")
+                isWhole = "usage" in event
+                self.write("data: " + json.dumps(event) + "\n\n")
+                await self.flush()
+        except WorkerRefusal as refusal:
+            self.set_status(refusal.status)
+            self.finish({"error": refusal.why})
+            return
+        except StreamClosedError:
+            return
+        if not isWhole:
+            connection: Any = self.request.connection
+            connection.stream.close()
+            return
+        self.finish("data: [DONE]\n\n")
+
+    def on_connection_close(self) -> None:
+        if self.runTask is not None:
+            self.runTask.cancel()
+
+
+class LoadHandler(RequestHandler):
+    def initialize(self, model: WorkerModel) -> None:
+        self.model = model
+
+    async def post(self) -> None:
+        command = json.loads(self.request.body)
+        try:
+            self.finish(await self.model.load(int(command["fence"]), str(command["model"])))
+        except WorkerRefusal as refusal:
+            self.set_status(refusal.status)
+            self.finish({"error": refusal.why})
+
+
+class EventsHandler(RequestHandler):
+    def initialize(self, model: WorkerModel | StoreModel) -> None:
+        self.model = model
+
+    def get(self) -> None:
+        self.finish(self.model.events(self.get_argument("life", ""), int(self.get_argument("after", "0"))))
+
+
+class KeptHandler(RequestHandler):
+    def initialize(self, model: WorkerModel | StoreModel) -> None:
+        self.model = model
+
+    def get(self, key: str) -> None:
+        kept = self.model.get(key) if isinstance(self.model, StoreModel) else self.model.cache.get(key)
+        if kept is None:
+            self.set_status(404)
+            self.finish({})
+        else:
+            self.finish(vars(kept))
+
+    def put(self, key: str) -> None:
+        assert isinstance(self.model, StoreModel)
+        self.model.put(key, Kept(**json.loads(self.request.body)))
+        self.finish({})
+
+
+class RunsHandler(RequestHandler):
+    """The ledger: every job that began to run here, and any foreign prefix that it ran on."""
+
+    def initialize(self, model: WorkerModel | ApplicationModel) -> None:
+        self.model = model
+
+    def get(self) -> None:
+        self.finish({"runs": [vars(r) for r in self.model.runs]})
+
+
+class FaultHandler(RequestHandler):
+    """Faults by command: slow link, silent reports, cut streams."""
+
+    def initialize(self, model: WorkerModel, link: HttpFetchLink) -> None:
+        self.model = model
+        self.link = link
+
+    def post(self) -> None:
+        fault = json.loads(self.request.body)
+        self.link.slowness = int(fault.get("slowness", self.link.slowness))
+        self.model.log.isSilent = bool(fault.get("silent", self.model.log.isSilent))
+        if "cutAfterLines" in fault:
+            self.model.cutAfterLines = fault["cutAfterLines"]
+        self.finish({})
+
+
+def build_stand_in(role: str, storeAddress: str) -> Application:
+    clock, chance = BootClock(), random.Random()
+    if role == "store":
+        store = StoreModel(chance)
+        return Application(
+            [("/v1/kv_events", EventsHandler, {"model": store}), ("/v1/kv/(.+)", KeptHandler, {"model": store})],
+            log_function=lambda handler: None,
+        )
+    if role == "application":
+        application = ApplicationModel(clock)
+        return Application(
+            [("/v1/completions", CompletionsHandler, {"model": application}),
+             ("/runs", RunsHandler, {"model": application})],
+            log_function=lambda handler: None,
+        )
+    link = HttpFetchLink(storeAddress)
+    worker = WorkerModel(clock, chance, link)
+    return Application(
+        [
+            ("/v1/completions", CompletionsHandler, {"model": worker}),
+            ("/v1/load", LoadHandler, {"model": worker}),
+            ("/v1/kv_events", EventsHandler, {"model": worker}),
+            ("/v1/kv/(.+)", KeptHandler, {"model": worker}),
+            ("/runs", RunsHandler, {"model": worker}),
+            ("/faults", FaultHandler, {"model": worker, "link": link}),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/src/pearhead/lathe/admit.py
@@ -0,0 +1,138 @@
+"""Admission (§8.3): places by entry, bounded queues, and turns between tenants."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections import OrderedDict, deque
+
+from result import Err, Ok, Result
+
+from pearhead.awl.clock import Clock
+from pearhead.awl.description import CapabilityEntry
+from pearhead.lathe.errors import ErrorKind, Refusal
+from pearhead.lathe.job import Job
+
+Waiter = asyncio.Future[bool]
+
+
+class _EntryQueue:
+    def __init__(self) -> None:
+        self.runningCount = 0
+        self.runningByTenant: dict[str, int] = {}
+        self.waitersByTenant: OrderedDict[str, deque[Waiter]] = OrderedDict()
+        self.waitingCount = 0
+
+
+class Admission:
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.queues: dict[str, _EntryQueue] = {}
+
+    async def admit(self, job: Job) -> Result[None, Refusal]:
+        assert job.entry is not None and job.tenant is not None
+        entry, tenantName = job.entry, job.tenant.name
+        queue = self.queues.setdefault(entry.name, _EntryQueue())
+        if queue.runningCount < entry.concurrency and not queue.waitingCount:
+            self._begin(queue, tenantName)
+            return Ok(None)
+        tenantWaiters = queue.waitersByTenant.setdefault(tenantName, deque())
+        # A tenant may fill no more than its share of the queue, so that others find room.
+        shareLimit = max(1, entry.queueLimit // max(2, len(queue.waitersByTenant)))
+        if queue.waitingCount >= entry.queueLimit:
+            return Err(Refusal(ErrorKind.OVERLOADED, "the queue is full"))
+        if len(tenantWaiters) >= shareLimit:
+            return Err(Refusal(ErrorKind.TENANT_BUSY, "the tenant's share of the queue is full"))
+        waiter: Waiter = asyncio.get_running_loop().create_future()
+        tenantWaiters.append(waiter)
+        queue.waitingCount += 1
+
+        def give_up() -> None:
+            if not waiter.done():
+                waiter.set_result(False)
+
+        deadlineTimer = self.clock.after(job.left_micros(self.clock.now()), give_up)
+        isAdmitted = False
+        try:
+            isAdmitted = await waiter
+        finally:
+            deadlineTimer.cancel()
+            if not isAdmitted:
+                # Out of the queue before the refusal goes out, so that it never runs (§8.3).
+                self._forget(queue, tenantName, waiter)
+                if waiter.done() and not waiter.cancelled() and waiter.result():
+                    self.leave_place(entry, tenantName)
+        if not isAdmitted:
+            return Err(Refusal(ErrorKind.DEADLINE_PASSED, "waited for its turn to the deadline"))
+        return Ok(None)
+
+    def leave_place(self, entry: CapabilityEntry, tenantName: str) -> None:
+        queue = self.queues[entry.name]
+        queue.runningCount -= 1
+        queue.runningByTenant[tenantName] -= 1
+        if not queue.runningByTenant[tenantName]:
+            del queue.runningByTenant[tenantName]
+        while queue.waitingCount and queue.runningCount < entry.concurrency:
+            if not self._wake_next(queue):
+                break
+
+    def _wake_next(self, queue: _EntryQueue) -> bool:
+        """The waiting tenant with the fewest running jobs is next; among equals, turns go round."""
+        waiting = [t for t, waiters in queue.waitersByTenant.items() if waiters]
+        if not waiting:
+            return False
+        nextTenant = min(waiting, key=lambda t: queue.runningByTenant.get(t, 0))
+        queue.waitersByTenant.move_to_end(nextTenant)
+        waiter = queue.waitersByTenant[nextTenant].popleft()
+        queue.waitingCount -= 1
+        if not queue.waitersByTenant[nextTenant]:
+            del queue.waitersByTenant[nextTenant]
+        if not waiter.done():
+            self._begin(queue, nextTenant)
+            waiter.set_result(True)
+        return True
+
+    def _begin(self, queue: _EntryQueue, tenantName: str) -> None:
+        queue.runningCount += 1
+        queue.runningByTenant[tenantName] = queue.runningByTenant.get(tenantName, 0) + 1
+
+    def _forget(self, queue: _EntryQueue, tenantName: str, waiter: Waiter) -> None:
+        tenantWaiters = queue.waitersByTenant.get(tenantName, deque())
+        if waiter in tenantWaiters:
+            tenantWaiters.remove(waiter)
+            queue.waitingCount -= 1
+            if not tenantWaiters:
+                del queue.waitersByTenant[tenantName]
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_a_large_tenants_burst_does_not_starve_a_small_one(self) -> None:
+        from pearhead.awl.clock import BootClock
+        from pearhead.awl.description import Tenant
+        from pearhead.awl.view import View
+        from pearhead.lathe.job import JobRequest
+
+        entry = CapabilityEntry("e", "l", ["*"], ["k"], "s", concurrency=1, queueLimit=8)
+        order: list[str] = []
+
+        def make_job(tenantName: str) -> Job:
+            request = JobRequest("l", "k", "b")
+            return Job(request, "j", 0, View(), 2**62, Tenant(tenantName, []), entry)
+
+        async def run_all() -> list[Result[None, Refusal]]:
+            admission = Admission(BootClock())
+
+            async def run(tenantName: str) -> Result[None, Refusal]:
+                admitted = await admission.admit(make_job(tenantName))
+                if not isinstance(admitted, Err):
+                    order.append(tenantName)
+                    await asyncio.sleep(0)
+                    admission.leave_place(entry, tenantName)
+                return admitted
+
+            return await asyncio.gather(*[run("large") for _ in range(8)], run("small"))
+
+        results = asyncio.run(run_all())
+        refused = [r.err_value.kind for r in results if isinstance(r, Err)]
+        self.assertEqual(refused, [ErrorKind.TENANT_BUSY] * 3)
+        self.assertLess(order.index("small"), 3)
--- /dev/null
+++ b/src/pearhead/lathe/budget.py
@@ -0,0 +1,38 @@
+"""RetryBudget (§8.4): retries to a service stay a small share of its traffic."""
+
+from __future__ import annotations
+
+import unittest
+
+BURST_LIMIT = 10.0
+
+
+class RetryBudget:
+    """A token bucket a service: a job pays its share in, a retry takes a whole token out."""
+
+    def __init__(self) -> None:
+        self.tokens: dict[str, float] = {}
+        self.jobCount = 0
+        self.retryCount = 0
+
+    def pay_in(self, service: str, share: float) -> None:
+        self.jobCount += 1
+        self.tokens[service] = min(self.tokens.get(service, 0.0) + share, BURST_LIMIT)
+
+    def take_out(self, service: str) -> bool:
+        if self.tokens.get(service, 0.0) < 1.0 - 1e-9:
+            return False
+        self.tokens[service] -= 1.0
+        self.retryCount += 1
+        return True
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_retries_stay_within_the_share(self) -> None:
+        budget = RetryBudget()
+        self.assertFalse(budget.take_out("s"), "no credit at first")
+        taken = 0
+        for _ in range(1_000):
+            budget.pay_in("s", 0.1)
+            taken += budget.take_out("s")
+        self.assertEqual(taken, 100)
--- /dev/null
+++ b/src/pearhead/lathe/carry.py
@@ -0,0 +1,54 @@
+"""Carrier (§8.4): takes one job to one back end, once. What failed says whether a byte had left."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+NOT_SENT = "not_sent"
+REFUSED = "refused"
+CUT = "cut"
+
+
+class CarryFault(Exception):
+    """`not_sent`: no byte left. `refused`: the back end says it did not run. `cut`: all else."""
+
+    def __init__(self, stage: str, detail: str) -> None:
+        super().__init__(f"{stage}: {detail}")
+        self.stage = stage
+        self.detail = detail
+
+
+@dataclass
+class UpstreamJob:
+    upstreamId: str
+    model: str
+    body: str
+    salt: str
+    tenant: str
+    prefix: list[dict[str, Any]] = field(default_factory=list)
+    fetch: dict[str, Any] = field(default_factory=dict)
+    limitMicros: int = 0
+
+    def to_request(self) -> dict[str, Any]:
+        """The published completions format with its cache salt and transfer parameters (§8.4)."""
+        return {
+            "model": self.model, "prompt": self.body, "stream": True, "cache_salt": self.salt,
+            "user": self.tenant, "prefix": self.prefix, "kv_transfer_params": self.fetch,
+        }
+
+
+class Carrier(Protocol):
+    def carry(self, workerAddress: str, upstreamJob: UpstreamJob) -> AsyncIterator[dict[str, Any]]:
+        """Yields each event of the stream; ends only if the back end closed it; raises CarryFault."""
+
+
+class Pen(Protocol):
+    """Where a job's lines go. Writing waits for a slow caller; a gone caller raises PenGone."""
+
+    async def write(self, line: dict[str, Any]) -> None: ...
+
+
+class PenGone(Exception):
+    """The caller went away."""
--- /dev/null
+++ b/src/pearhead/lathe/holder.py
@@ -0,0 +1,264 @@
+"""HolderController (§7): holds workers by term and fence, loads weights, gathers reports."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import random
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import picologging
+from result import Err, Result
+
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.crew import Crew
+from pearhead.awl.directory import Directory
+from pearhead.awl.view import View, WorkerFact
+from pearhead.awl.wire_pb2 import Command, CommandAsk, CommandResult, CopyNote, PurgeNote
+from pearhead.lathe.index import CopyIndex
+from pearhead.lathe.term import TermKeeper
+from pearhead.rasp.listener import Listener
+
+LOGGER = picologging.getLogger("pearhead")
+ROUND_MICROS = 200 * MILLI
+ASK_MICROS = SECOND
+POLL_MICROS = 250 * MILLI
+WAVE_MICROS = 3_500 * MILLI
+LOAD_LIMIT_MICROS = 6 * SECOND
+MARGIN_MICROS = 300 * MILLI
+BUMP_LIMIT = 512
+KEYS_A_NOTE = 25
+PARTS_AT_ONCE = 16
+
+
+class WorkerLink(Protocol):
+    """Commands and reports of one worker or store, over its own published edge."""
+
+    async def load(
+        self, address: str, fence: int, line: str, weights: str, limitMicros: int
+    ) -> Result[dict[str, Any], str]: ...
+
+    async def events(self, address: str, life: str, after: int) -> Result[dict[str, Any], str]: ...
+
+
+@dataclass
+class _Hold:
+    fence: int
+    validUntil: int
+    renewAt: int
+    isBusy: bool = False
+
+
+@dataclass
+class _Report:
+    life: str = ""
+    sequence: int = 0
+    isBusy: bool = False
+    kept: set[str] = field(default_factory=set)
+
+
+class HolderController:
+    def __init__(
+        self, identity: str, keeper: TermKeeper, listener: Listener, index: CopyIndex, link: WorkerLink,
+        courier: Courier, directory: Directory, clock: Clock, chance: random.Random, crew: Crew,
+        holdMicros: int,
+    ) -> None:
+        self.identity = identity
+        self.keeper = keeper
+        self.listener = listener
+        self.index = index
+        self.link = link
+        self.courier = courier
+        self.directory = directory
+        self.clock = clock
+        self.chance = chance
+        self.crew = crew
+        self.holdMicros = holdMicros
+        self.holds: dict[str, _Hold] = {}
+        self.asking: set[str] = set()
+        self.reports: dict[str, _Report] = {}
+        self.bumpedFor: dict[str, int] = {}
+        self.isDraining = False
+        listener.copyWatcher = self._take_copies
+
+    async def run(self) -> None:
+        while True:
+            await rest(self.clock, ROUND_MICROS)
+            if self.keeper.is_current() and not self.isDraining:
+                self._work_once()
+
+    def _work_once(self) -> None:
+        view = self.keeper.view
+        for name, worker in sorted(view.workers.items()):
+            if self._service_role(view, worker) == "application":
+                continue
+            hold = self.holds.get(name)
+            nowMicros = self.clock.now()
+            if hold is not None and nowMicros >= hold.validUntil:
+                self.holds.pop(name)
+                hold = None
+            if name not in self.asking and (
+                (hold is None and self._is_first(name)) or (hold is not None and nowMicros >= hold.renewAt)
+            ):
+                self.asking.add(name)
+                self.crew.start(self._ask_hold(name, hold.fence if hold else 0))
+            if hold is not None:
+                self._use_hold(view, worker, hold)
+        for line, fact in view.weights.items():
+            if line in self.bumpedFor and self.bumpedFor[line] != fact.revision and self._is_first(line):
+                self.crew.start(self._bump_line(line))
+            self.bumpedFor[line] = fact.revision
+
+    def _is_first(self, name: str) -> bool:
+        """By rendezvous among the nodes alive: who should hold; the core decides who does (§7.2)."""
+        identities = [r.identity for r in self.directory.members("lathe")] + [self.identity]
+        return self.identity == max(
+            identities, key=lambda i: hashlib.blake2b(f"{i}/{name}".encode(), digest_size=8).digest()
+        )
+
+    def _service_role(self, view: View, worker: WorkerFact) -> str:
+        return next((s.role for s in view.description.services if s.name == worker.service), "application")
+
+    async def _ask_hold(self, name: str, heldFence: int) -> None:
+        try:
+            askedMicros = self.clock.now()
+            command = Command()
+            command.hold.worker, command.hold.holder = name, self.identity
+            command.hold.termMicros, command.hold.renewFence = self.holdMicros, heldFence
+            result = await self._command(command)
+            if result is not None and result.status == "done":
+                fence = heldFence or result.index
+                isBusy = self.holds[name].isBusy if name in self.holds else False
+                # The term counts from before it was asked for, and ends early (§7.2).
+                self.holds[name] = _Hold(
+                    fence, askedMicros + self.holdMicros - MARGIN_MICROS,
+                    askedMicros + self.holdMicros // 3, isBusy,
+                )
+            elif result is not None and result.status in ("held", "refused"):
+                self.holds.pop(name, None)
+        finally:
+            self.asking.discard(name)
+
+    async def _command(self, command: Command) -> CommandResult | None:
+        addresses = self.keeper.core_addresses()
+        if not addresses:
+            return None
+        ask = CommandAsk(command=command.SerializeToString())
+        answer = await self.courier.ask(self.chance.choice(addresses), "commandAsk", ask, ASK_MICROS)
+        return None if isinstance(answer, Err) else answer.ok_value
+
+    # ---- what a holder does ----------------------------------------------------------------------
+
+    def _use_hold(self, view: View, worker: WorkerFact, hold: _Hold) -> None:
+        report = self.reports.setdefault(worker.name, _Report())
+        if not report.isBusy:
+            report.isBusy = True
+            self.crew.start(self._gather(worker, report))
+        if hold.isBusy or self._service_role(view, worker) != "model":
+            return
+        line = next((e.line for e in view.description.entries if e.service == worker.service), "")
+        present = view.weights.get(line)
+        if present is None or not report.life:
+            return
+        load = view.loads.get(worker.name)
+        isLoaded = load is not None and load.line == line and load.life == report.life
+        if load is not None and isLoaded and load.weightsRevision == present.revision:
+            return
+        if isLoaded and not self._may_begin(view, worker, line, present.revision):
+            return
+        hold.isBusy = True
+        self.crew.start(self._load(worker, hold.fence, line, present.weights, present.revision))
+
+    def _may_begin(self, view: View, worker: WorkerFact, line: str, revision: int) -> bool:
+        """Two waves: the first half at once, the rest when that half serves or is late (§7.3)."""
+        names = sorted(n for n, w in view.workers.items() if w.service == worker.service and not w.leaving)
+        firstWave = names[: math.ceil(len(names) / 2)]
+        if worker.name in firstWave or worker.leaving:
+            return True
+        seenMicros = self.keeper.firstSeen.get((line, revision), 0)
+        if self.clock.now() - seenMicros > WAVE_MICROS:
+            return True
+        return all(n in view.loads and view.loads[n].weightsRevision == revision for n in firstWave)
+
+    async def _load(self, worker: WorkerFact, fence: int, line: str, weights: str, revision: int) -> None:
+        try:
+            LOGGER.info("lathe: Loads %s on %s with fence %d.", weights, worker.name, fence)
+            loaded = await self.link.load(worker.address, fence, line, weights, LOAD_LIMIT_MICROS)
+            if isinstance(loaded, Err):
+                LOGGER.warning("lathe: %s did not load: %s", worker.name, loaded.err_value)
+                await rest(self.clock, POLL_MICROS)
+                return
+            body = loaded.ok_value
+            command = Command()
+            command.confirm.worker, command.confirm.fence = worker.name, fence
+            command.confirm.line, command.confirm.weights = line, weights
+            command.confirm.life, command.confirm.sequence = body["life"], body["sequence"]
+            command.confirm.weightsRevision = revision
+            for _ in range(5):
+                result = await self._command(command)
+                if result is not None and result.status in ("done", "refused"):
+                    break
+            # Leaves the core's word time to come round, so that it is not loaded twice.
+            await rest(self.clock, 3 * POLL_MICROS)
+        finally:
+            if worker.name in self.holds:
+                self.holds[worker.name].isBusy = False
+
+    async def _gather(self, worker: WorkerFact, report: _Report) -> None:
+        try:
+            answer = await self.link.events(worker.address, report.life, report.sequence)
+            if isinstance(answer, Err):
+                await rest(self.clock, POLL_MICROS)
+                return
+            body = answer.ok_value
+            isNews = body["life"] != report.life or body["sequence"] != report.sequence
+            fromSequence = 0 if body["whole"] else report.sequence
+            report.life, report.sequence = body["life"], body["sequence"]
+            if isNews:
+                self._spread(worker, body, fromSequence)
+            for key in body["changed"]:
+                known = self.index.partByKey.get(key)
+                if known is not None:
+                    self.crew.start(self.listener.bump(*known))
+            await rest(self.clock, POLL_MICROS)
+        finally:
+            report.isBusy = False
+
+    def _spread(self, worker: WorkerFact, body: dict[str, Any], fromSequence: int) -> None:
+        """Tells all nodes on the channel of a volume; those not told lose only speed (§6.5)."""
+        kept, dropped = list(body["kept"]), list(body["dropped"])
+        note = CopyNote(
+            worker=worker.name, life=body["life"], sequence=body["sequence"], fromSequence=fromSequence,
+            whole=body["whole"], kept=kept, dropped=dropped,
+        )
+        self._count_copies(note)
+        addresses = [r.address for r in self.directory.members("lathe")]
+        if len(kept) + len(dropped) <= KEYS_A_NOTE:
+            self.courier.cast(addresses, "purgeNote", PurgeNote(copyNote=note))
+        else:
+            # Too long for a datagram: such a list goes as frames.
+            for address in addresses:
+                self.courier.tell(address, "purgeNote", PurgeNote(copyNote=note))
+
+    def _take_copies(self, note: PurgeNote) -> None:
+        self._count_copies(note.copyNote)
+
+    def _count_copies(self, note: CopyNote) -> None:
+        self.index.take_report(
+            note.worker, note.life, note.fromSequence, note.sequence, note.kept, note.dropped, note.whole
+        )
+        if not note.whole:
+            self.index.tie(
+                self.keeper.view.loads.get(note.worker), note.life, note.fromSequence, note.kept
+            )
+
+    async def _bump_line(self, line: str) -> None:
+        """The node that orders a roll-out sends the request for each part it knows of (§6.3)."""
+        parts = self.index.parts_of_line(line)[:BUMP_LIMIT]
+        LOGGER.info("lathe: Bumps %d parts of %s for new weights.", len(parts), line)
+        for position in range(0, len(parts), PARTS_AT_ONCE):
+            for part in parts[position : position + PARTS_AT_ONCE]:
+                self.crew.start(self.listener.bump(*part))
+            await rest(self.clock, ROUND_MICROS)
--- /dev/null
+++ b/src/pearhead/lathe/main.py
@@ -0,0 +1,81 @@
+"""The `lathe` command (§3.4)."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import time
+from typing import Any
+
+import fire
+from result import Err
+from tornado.httpserver import HTTPServer
+
+from pearhead import PEARHEAD_RELEASE
+from pearhead.awl.clock import BootClock
+from pearhead.awl.daemon import open_logs, serve_until_stopped
+from pearhead.awl.socketnet import SocketNet, split_address
+from pearhead.awl.startup import Startup, end_with, read_startup
+from pearhead.lathe.front import build_front
+from pearhead.lathe.node import NodeProcess
+from pearhead.lathe.tornadocarrier import TornadoCarrier, TornadoWorkerLink
+
+
+async def _serve(startup: Startup) -> int:
+    net = SocketNet(startup.address)
+    node = NodeProcess(
+        startup, BootClock(), net, TornadoCarrier(), TornadoWorkerLink(), random.SystemRandom(),
+        time.time_ns() // 1_000,
+    )
+    server = HTTPServer(
+        build_front(node, startup), max_body_size=startup.bodyLimitBytes,
+        max_header_size=startup.headerLimitBytes, idle_connection_timeout=60, body_timeout=30,
+    )
+    hostName, portNumber = split_address(startup.httpAddress)
+    try:
+        await net.open()
+        server.listen(portNumber, hostName)
+    except OSError as fault:
+        print(f"lathe: can't listen: {fault}", file=sys.stderr)
+        return 2
+    node.start()
+
+    async def drain() -> None:
+        server.stop()
+        await node.drain()
+
+    status = await serve_until_stopped(drain, asyncio.Event())
+    node.stop()
+    net.close()
+    return status
+
+
+class LatheCommand:
+    """A front node of pearhead."""
+
+    def run(self, startup: str = "", **flags: Any) -> None:
+        """Serves until SIGTERM. Flags are startup fields, such as --address=127.0.0.1:7001."""
+        checked = read_startup(startup, flags, needsFolder=False)
+        if isinstance(checked, Err):
+            return end_with("lathe", checked.err_value)
+        open_logs(checked.ok_value.logLevel)
+        raise SystemExit(asyncio.run(_serve(checked.ok_value)))
+
+    def check(self, startup: str = "", **flags: Any) -> None:
+        """Checks a startup file and flags, and lists every fault."""
+        checked = read_startup(startup, flags, needsFolder=False)
+        if isinstance(checked, Err):
+            return end_with("lathe", checked.err_value)
+        print("lathe: the startup is sound")
+
+
+def main() -> None:
+    if sys.argv[1:] == ["--version"]:
+        print(f"lathe {PEARHEAD_RELEASE}")
+        return
+    fire.Fire(LatheCommand, name="lathe")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/pearhead/lathe/node.py
@@ -0,0 +1,264 @@
+"""NodeProcess (§8): a diskless front node. `run_job` is the way of a job, from top to bottom."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from typing import Any
+
+import picologging
+from result import Err, Ok, Result
+
+from pearhead.awl.clock import MILLI, Clock, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.crew import Crew
+from pearhead.awl.directory import Directory
+from pearhead.awl.net import Net
+from pearhead.awl.startup import Startup
+from pearhead.awl.wire_pb2 import Record
+from pearhead.lathe.admit import Admission
+from pearhead.lathe.budget import RetryBudget
+from pearhead.lathe.carry import CUT, Carrier, CarryFault, Pen, PenGone, UpstreamJob
+from pearhead.lathe.errors import ErrorKind, Refusal
+from pearhead.lathe.holder import HolderController, WorkerLink
+from pearhead.lathe.index import CopyIndex
+from pearhead.lathe.job import Job, JobRequest, Placement
+from pearhead.lathe.nominate import Nominator
+from pearhead.lathe.term import TermKeeper
+from pearhead.rasp.listener import Listener
+
+LOGGER = picologging.getLogger("pearhead")
+TRY_LIMIT = 3
+
+
+class NodeProcess:
+    def __init__(
+        self, startup: Startup, clock: Clock, net: Net, carrier: Carrier, link: WorkerLink,
+        chance: random.Random, incarnation: int,
+    ) -> None:
+        self.startup = startup
+        self.clock = clock
+        self.carrier = carrier
+        self.chance = chance
+        self.crew = Crew("lathe")
+        self.identity = chance.randbytes(12).hex()
+        self.courier = Courier(self.identity, startup.address, net, clock)
+        selfRecord = Record(
+            identity=self.identity, address=startup.address, role="lathe", area=startup.area,
+            httpAddress=startup.httpAddress, incarnation=incarnation,
+        )
+        self.directory = Directory(selfRecord, startup.seeds, self.courier, clock, chance)
+        self.keeper = TermKeeper(
+            self.courier, self.directory, clock, chance, self.crew, startup.termMicros
+        )
+        self.listener = Listener(
+            self.courier, self.directory, clock, chance, self.crew, startup.tableLifetimeMicros
+        )
+        self.index = CopyIndex()
+        self.nominator = Nominator(
+            self.keeper, self.listener, self.index, clock, startup.oldWeightsMicros
+        )
+        self.admission = Admission(clock)
+        self.budget = RetryBudget()
+        self.holder = HolderController(
+            self.identity, self.keeper, self.listener, self.index, link, self.courier, self.directory,
+            clock, chance, self.crew, startup.holdMicros,
+        )
+        self.isDraining = False
+        self.openJobs = 0
+        self.outcomeCounts: dict[str, int] = {}
+        self.reusedTokens = 0
+        self.prefixTokens = 0
+
+    def start(self) -> None:
+        for work in (self.directory.run(), self.keeper.run(), self.listener.run(), self.holder.run()):
+            self.crew.start(work)
+        LOGGER.info("lathe: Node %s listens on %s.", self.identity[:8], self.startup.address)
+
+    def stop(self) -> None:
+        self.crew.stop()
+        self.courier.stop()
+
+    async def drain(self) -> None:
+        """Takes no new job and waits for the accepted ones."""
+        self.isDraining = self.holder.isDraining = True
+        endMicros = self.clock.now() + self.startup.drainMicros
+        while self.openJobs and self.clock.now() < endMicros:
+            await rest(self.clock, 20 * MILLI)
+
+    # ---- the way of a job ------------------------------------------------------------------------
+
+    async def run_job(self, keyText: str, request: JobRequest, pen: Pen) -> Result[None, Refusal]:
+        """Ok: a whole result was written. Err before a line was written: an answer with a status;
+        after: the caller's stream must be aborted."""
+        job = Job(request, request.jobId or self.chance.randbytes(12).hex(), self.clock.now(),
+                  self.keeper.view)
+        self.openJobs += 1
+        try:
+            outcome = await self._run_stages(keyText, job, pen)
+        finally:
+            self.openJobs -= 1
+        word = outcome.err_value.kind.value if isinstance(outcome, Err) else "done"
+        self.outcomeCounts[word] = self.outcomeCounts.get(word, 0) + 1
+        return outcome
+
+    async def _run_stages(self, keyText: str, job: Job, pen: Pen) -> Result[None, Refusal]:
+        current = self._check_current(job)
+        if isinstance(current, Err):
+            return current
+        authenticated = self._authenticate(keyText, job)
+        if isinstance(authenticated, Err):
+            return authenticated
+        matched = self._match(job)
+        if isinstance(matched, Err):
+            return matched
+        admitted = await self.admission.admit(job)
+        if isinstance(admitted, Err):
+            return admitted
+        assert job.entry is not None and job.tenant is not None
+        try:
+            # Waiting may have taken long: key, entry and view are looked at again (§8.3).
+            for check in (self._check_current(job), self._authenticate(keyText, job)):
+                if isinstance(check, Err):
+                    return check
+            carried = await self._nominate_and_carry(job, pen)
+            if isinstance(carried, Err) and job.mayHaveRun:
+                # Whatever stopped a later try: the first may have run, so this is no refusal (§8.2).
+                return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, carried.err_value.detail))
+            return carried
+        finally:
+            self.admission.leave_place(job.entry, job.tenant.name)
+
+    def _check_current(self, job: Job) -> Result[None, Refusal]:
+        if self.isDraining:
+            return Err(Refusal(ErrorKind.DRAINING, "this node takes no new jobs"))
+        if not self.keeper.is_current():
+            return Err(Refusal(ErrorKind.NOT_CURRENT, "this node can't tell that its view is current"))
+        job.view = self.keeper.view
+        return Ok(None)
+
+    def _authenticate(self, keyText: str, job: Job) -> Result[None, Refusal]:
+        tenant = job.view.tenantByHash.get(hashlib.sha256(keyText.encode()).hexdigest())
+        if tenant is None:
+            return Err(Refusal(ErrorKind.BAD_KEY, "no tenant has this key"))
+        job.tenant = tenant
+        return Ok(None)
+
+    def _match(self, job: Job) -> Result[None, Refusal]:
+        assert job.tenant is not None
+        request = job.request
+        if request.model not in job.view.lineNames:
+            return Err(Refusal(ErrorKind.UNKNOWN_MODEL, f"no model {request.model!r}"))
+        if len(request.prefix) > job.view.description.limits.prefixParts:
+            return Err(Refusal(ErrorKind.TOO_LARGE, "too many prefix parts"))
+        job.entry = job.view.match(request.model, job.tenant.name, request.kind)
+        if job.entry is None:
+            isKnown = any(k == request.kind for _, _, k in job.view.entryByMatch)
+            kind = ErrorKind.NOT_ENTITLED if isKnown else ErrorKind.UNKNOWN_KIND
+            return Err(Refusal(kind, f"no entry for {request.model} {request.kind}"))
+        wantedMicros = request.deadlineMicros or job.entry.deadlineMicros
+        job.deadlineMicros = job.arrivedMicros + min(wantedMicros, job.entry.deadlineMicros)
+        return Ok(None)
+
+    async def _nominate_and_carry(self, job: Job, pen: Pen) -> Result[None, Refusal]:
+        assert job.entry is not None
+        share = job.view.description.limits.retryShare
+        self.budget.pay_in(job.entry.service, share)
+        lastRefusal = Refusal(ErrorKind.NO_WORKER, "no worker took the job")
+        for tryNumber in range(TRY_LIMIT):
+            if job.left_micros(self.clock.now()) <= 0:
+                return Err(Refusal(ErrorKind.DEADLINE_PASSED, "the deadline passed before it ran"))
+            if tryNumber and not self.budget.take_out(job.entry.service):
+                return Err(lastRefusal)
+            nominated = self.nominator.nominate(job)
+            if isinstance(nominated, Err):
+                return Err(lastRefusal if tryNumber else nominated.err_value)
+            placement = nominated.ok_value
+            carried = await self._carry(job, placement, pen, tryNumber)
+            if not isinstance(carried, Err):
+                return carried
+            lastRefusal = carried.err_value
+            if lastRefusal.kind is not ErrorKind.NO_WORKER:
+                return carried
+            job.triedWorkers.add(placement.worker.name)
+        return Err(lastRefusal)
+
+    async def _carry(self, job: Job, placement: Placement, pen: Pen, tryNumber: int) -> Result[None, Refusal]:
+        """NO_WORKER says it did not run and may be tried elsewhere; OUTCOME_UNKNOWN ends the job."""
+        assert job.entry is not None and job.tenant is not None
+        worker = placement.worker
+        upstreamJob = UpstreamJob(
+            upstreamId=f"{job.jobId}.{self.chance.randbytes(6).hex()}",
+            model=f"{job.entry.line}@{placement.weightsName}" if placement.weightsName else job.entry.line,
+            body=job.request.body, salt=placement.salt, tenant=job.tenant.name,
+            limitMicros=job.left_micros(self.clock.now()),
+            prefix=[
+                {"tokens": p.tokens, "key": placement.keys[i] if i < len(placement.keys) else ""}
+                for i, p in enumerate(job.request.prefix)
+            ],
+        )
+        if placement.fetchFrom is not None:
+            upstreamJob.fetch = {
+                "remote": placement.fetchFrom.address, "parts": placement.fetchParts,
+                "limit_micros": placement.fetchLimitMicros,
+            }
+        lineCount = 0
+        self.nominator.begin(worker.name)
+        try:
+            async for event in self.carrier.carry(worker.address, upstreamJob):
+                if event.get("id") != f"cmpl-{upstreamJob.upstreamId}":
+                    raise CarryFault(CUT, "a line of another job")
+                if "usage" in event:
+                    self._take_usage(job, placement, event["usage"])
+                    await pen.write({"job": job.jobId, "end": True, "lines": lineCount,
+                                     "usage": event["usage"]})
+                    self.nominator.take_success(worker.name)
+                    return Ok(None)
+                await pen.write({"job": job.jobId, "line": lineCount, "text": event["choices"][0]["text"]})
+                lineCount += 1
+            raise CarryFault(CUT, "the stream ended without its closing line")
+        except CarryFault as fault:
+            LOGGER.info("lathe: Job %s at %s: %s", job.jobId, worker.name, fault)
+            if fault.stage != CUT:
+                self.nominator.take_fault(worker.name)
+                return Err(Refusal(ErrorKind.NO_WORKER, fault.detail))
+            job.mayHaveRun = True
+            self.nominator.take_fault(worker.name)
+            if job.entry.repeatable and lineCount == 0 and job.left_micros(self.clock.now()) > 0:
+                if tryNumber + 1 < TRY_LIMIT and self._has_credit(job):
+                    return Err(Refusal(ErrorKind.NO_WORKER, fault.detail))
+            return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, fault.detail))
+        except PenGone:
+            return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, "the caller went away"))
+        except (KeyError, IndexError, TypeError) as fault:
+            return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, f"an unreadable line: {fault!r}"))
+        finally:
+            self.nominator.end(worker.name)
+
+    def _has_credit(self, job: Job) -> bool:
+        assert job.entry is not None
+        return self.budget.tokens.get(job.entry.service, 0.0) >= 1.0
+
+    def _take_usage(self, job: Job, placement: Placement, usage: dict[str, Any]) -> None:
+        self.prefixTokens += sum(p.tokens for p in job.request.prefix)
+        self.reusedTokens += int(usage.get("prompt_tokens_details", {}).get("cached_tokens", 0))
+        if placement.fetchFrom is not None and usage.get("fetch_micros"):
+            self.nominator.take_fetch(
+                placement.fetchFrom.name, placement.worker.name, int(usage["fetch_tokens"]),
+                int(usage["fetch_micros"]),
+            )
+
+    def soundness(self) -> dict[str, Any]:
+        view = self.keeper.view
+        return {
+            "identity": self.identity, "address": self.startup.address, "area": self.startup.area,
+            "current": self.keeper.is_current(), "viewIndex": view.index,
+            "descriptionRevision": view.descriptionRevision, "openJobs": self.openJobs,
+            "draining": self.isDraining, "outcomes": self.outcomeCounts,
+            "jobs": self.budget.jobCount, "retries": self.budget.retryCount,
+            "prefixTokens": self.prefixTokens, "reusedTokens": self.reusedTokens,
+            "holds": {n: h.fence for n, h in self.holder.holds.items()},
+            "weights": {n: w.revision for n, w in view.weights.items()},
+            "loads": {n: f.weightsRevision for n, f in view.loads.items()},
+            "sent": self.courier.sentCounts, "sentBytes": self.courier.sentBytes,
+        }
--- /dev/null
+++ b/src/pearhead/lathe/nominate.py
@@ -0,0 +1,174 @@
+"""Nominator (§8.5): which worker runs a job, and whether it fetches parts first."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+
+from result import Err, Ok, Result
+
+from pearhead.awl.clock import MILLI, SECOND, Clock
+from pearhead.awl.description import owner_of
+from pearhead.awl.view import View, WorkerFact
+from pearhead.lathe.errors import ErrorKind, Refusal
+from pearhead.lathe.index import CopyIndex
+from pearhead.lathe.job import Job, Placement
+from pearhead.lathe.term import TermKeeper
+from pearhead.rasp.key import cache_salt, chain_keys
+from pearhead.rasp.listener import Listener
+
+LOAD_FACTOR = 1.25
+PREFILL_MICROS_A_TOKEN = 100.0
+FETCH_MICROS_A_TOKEN = 20.0
+FETCH_FIXED_MICROS = 5 * MILLI
+UNSOUND_MICROS = 2 * SECOND
+SMOOTHING = 0.3
+
+
+class Nominator:
+    def __init__(
+        self, keeper: TermKeeper, listener: Listener, index: CopyIndex, clock: Clock, oldWeightsMicros: int
+    ) -> None:
+        self.keeper = keeper
+        self.listener = listener
+        self.index = index
+        self.clock = clock
+        self.oldWeightsMicros = oldWeightsMicros
+        self.runningCounts: dict[str, int] = {}
+        self.unsoundUntil: dict[str, int] = {}
+        self.fetchRates: dict[tuple[str, str], float] = {}
+        self.usesIndex = True
+
+    def nominate(self, job: Job) -> Result[Placement, Refusal]:
+        assert job.entry is not None and job.tenant is not None
+        view = self.keeper.view
+        roles = {s.name: s.role for s in view.description.services}
+        isModel = roles.get(job.entry.service) == "model"
+        candidates = self._candidates(view, job, isModel)
+        if not candidates:
+            return Err(Refusal(ErrorKind.NO_WORKER, f"no sound worker of {job.entry.service}"))
+        if not isModel:
+            chosenWorker = min(candidates, key=lambda w: (self.runningCounts.get(w.name, 0), w.name))
+            return Ok(Placement(chosenWorker, why="fewest running"))
+        return Ok(self._place_on_model(view, job, candidates))
+
+    def begin(self, worker: str) -> None:
+        self.runningCounts[worker] = self.runningCounts.get(worker, 0) + 1
+
+    def end(self, worker: str) -> None:
+        self.runningCounts[worker] -= 1
+        if not self.runningCounts[worker]:
+            del self.runningCounts[worker]
+
+    def take_fault(self, worker: str) -> None:
+        """A worker that failed a job rests a while; its soundness is judged by jobs, not by pings."""
+        self.unsoundUntil[worker] = self.clock.now() + UNSOUND_MICROS
+
+    def take_success(self, worker: str) -> None:
+        self.unsoundUntil.pop(worker, None)
+
+    def take_fetch(self, source: str, target: str, tokens: int, micros: int) -> None:
+        if tokens <= 0:
+            return
+        heldRate = self.fetchRates.get((source, target), FETCH_MICROS_A_TOKEN)
+        self.fetchRates[source, target] = heldRate + SMOOTHING * (micros / tokens - heldRate)
+
+    def _candidates(self, view: View, job: Job, isModel: bool) -> list[WorkerFact]:
+        assert job.entry is not None
+        nowMicros = self.clock.now()
+        found = [
+            w for _, w in sorted(view.workers.items())
+            if w.service == job.entry.service and not w.leaving and w.name not in job.triedWorkers
+            and (not isModel or self._weights_allowed(view, job.entry.line, w.name))
+        ]
+        soundOnes = [w for w in found if self.unsoundUntil.get(w.name, 0) <= nowMicros]
+        return soundOnes
+
+    def _weights_allowed(self, view: View, line: str, worker: str) -> bool:
+        """Present weights always; older ones only for a while after a roll-out is seen (§7.4)."""
+        load, present = view.loads.get(worker), view.weights.get(line)
+        if load is None or present is None or load.line != line:
+            return False
+        if load.weightsRevision == present.revision:
+            return True
+        seenMicros = self.keeper.firstSeen.get((line, present.revision))
+        return seenMicros is not None and self.clock.now() - seenMicros < self.oldWeightsMicros
+
+    def _place_on_model(self, view: View, job: Job, candidates: list[WorkerFact]) -> Placement:
+        assert job.entry is not None and job.tenant is not None
+        line, owner = job.entry.line, owner_of(job.tenant)
+        present = view.weights[line]
+        onPresent = [w for w in candidates if view.loads[w.name].weightsRevision == present.revision]
+        isPresent = bool(onPresent)
+        candidates = onPresent or candidates
+        parts = [p.part for p in job.request.prefix]
+        revisions: list[int] = []
+        for part in parts:
+            revision = self.listener.revision_of(owner, line, part)
+            if revision is None:
+                break
+            revisions.append(revision)
+        known = list(zip(parts, revisions, strict=False))
+
+        def keys_on(weightsRevision: int) -> list[str]:
+            return chain_keys(owner, line, weightsRevision, known)
+
+        presentKeys = keys_on(present.revision)
+        keptCounts = {
+            w.name: self.index.longest_kept(
+                w.name, view.loads[w.name],
+                presentKeys if isPresent else keys_on(view.loads[w.name].weightsRevision),
+            ) if self.usesIndex else 0
+            for w in candidates
+        }
+        # Bounded load: a hot prefix does not pile onto one worker (§8.5).
+        totalCount = sum(self.runningCounts.get(w.name, 0) for w in candidates) + 1
+        loadLimit = math.ceil(LOAD_FACTOR * totalCount / len(candidates))
+        free = [w for w in candidates if self.runningCounts.get(w.name, 0) < loadLimit]
+        rankText = presentKeys[0] if presentKeys and self.usesIndex else job.jobId
+
+        def rank(worker: WorkerFact) -> tuple[int, int, bytes]:
+            nameHash = hashlib.blake2b(f"{rankText}/{worker.name}".encode(), digest_size=8).digest()
+            if presentKeys and self.usesIndex:
+                return (-keptCounts[worker.name], 0, nameHash)
+            return (0, self.runningCounts.get(worker.name, 0), nameHash)
+
+        chosenWorker = min(free, key=rank)
+        chosenLoad = view.loads[chosenWorker.name]
+        keys = keys_on(chosenLoad.weightsRevision)
+        self.index.note_parts(owner, line, [p for p, _ in known], keys)
+        # With nothing known to be current, the salt is the job's own: nothing can be reused.
+        salt = cache_salt(owner, line, chosenLoad.weightsRevision) if keys else f"job:{job.jobId}"
+        placement = Placement(
+            chosenWorker, chosenLoad.weights, salt, keys, keptCounts[chosenWorker.name],
+            why=f"keeps {keptCounts[chosenWorker.name]} of {len(parts)} parts",
+        )
+        if isPresent and self.usesIndex:
+            self._plan_fetch(view, job, placement, onPresent)
+        return placement
+
+    def _plan_fetch(self, view: View, job: Job, placement: Placement, workers: list[WorkerFact]) -> None:
+        """Fetches only what is current, tied, of the same owner, and quicker than prefill (§8.6)."""
+        bestSource, bestCount = None, placement.reusedParts
+        for worker in workers:
+            if worker.name == placement.worker.name:
+                continue
+            keptCount = self.index.longest_kept(worker.name, view.loads[worker.name], placement.keys)
+            if keptCount > bestCount:
+                bestSource, bestCount = worker, keptCount
+        stores = {s.name for s in view.description.services if s.role == "store"}
+        for _, store in sorted(view.workers.items()):
+            if store.service in stores and not store.leaving:
+                keptCount = self.index.held_in_store(store.name, placement.keys)
+                if keptCount > bestCount:
+                    bestSource, bestCount = store, keptCount
+        if bestSource is None:
+            return
+        tokens = sum(p.tokens for p in job.request.prefix[placement.reusedParts : bestCount])
+        fetchRate = self.fetchRates.get((bestSource.name, placement.worker.name), FETCH_MICROS_A_TOKEN)
+        fetchMicros = FETCH_FIXED_MICROS + tokens * fetchRate
+        prefillMicros = tokens * PREFILL_MICROS_A_TOKEN
+        if fetchMicros < prefillMicros:
+            placement.fetchFrom, placement.fetchParts = bestSource, bestCount
+            placement.fetchLimitMicros = int(prefillMicros)
+            placement.why += f", fetches to {bestCount} from {bestSource.name}"
--- /dev/null
+++ b/src/pearhead/lathe/term.py
@@ -0,0 +1,155 @@
+"""TermKeeper (§5.3): a node serves only while it knows that its view is current."""
+
+from __future__ import annotations
+
+import random
+
+import picologging
+from result import Err
+
+from pearhead.awl.clock import MILLI, Clock, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.crew import Crew
+from pearhead.awl.directory import Directory
+from pearhead.awl.view import View
+from pearhead.awl.wire_pb2 import Members, TermAsk, TermResult
+
+LOGGER = picologging.getLogger("pearhead")
+ROUND_MICROS = 300 * MILLI
+ANSWER_MICROS = 800 * MILLI
+RELAY_AFTER_MICROS = 700 * MILLI
+RELAY_COUNT = 2
+NEVER = -1
+
+
+class TermKeeper:
+    def __init__(
+        self, courier: Courier, directory: Directory, clock: Clock, chance: random.Random, crew: Crew,
+        termMicros: int,
+    ) -> None:
+        self.courier = courier
+        self.directory = directory
+        self.clock = clock
+        self.chance = chance
+        self.crew = crew
+        self.termMicros = termMicros
+        self.view = View()
+        self.members = Members()
+        self.membersIndex = 0
+        self.currentAt = NEVER
+        self.waitingMarks: list[tuple[int, int]] = []
+        self.needsWhole = False
+        self.firstSeen: dict[tuple[str, int], int] = {}
+        self.hasView = False
+        courier.on_ask("termAsk", self._answer_colleague)
+
+    def is_current(self) -> bool:
+        return self.currentAt != NEVER and self.clock.now() - self.currentAt <= self.termMicros
+
+    def core_addresses(self) -> list[str]:
+        known = [m.address for m in self.members.member if m.voter]
+        return known or [r.address for r in self.directory.members("anvil")]
+
+    async def run(self) -> None:
+        while True:
+            self.crew.start(self._ask_round())
+            if self.clock.now() - self.currentAt > RELAY_AFTER_MICROS:
+                self.crew.start(self._ask_colleagues())
+            await rest(self.clock, ROUND_MICROS)
+
+    async def _ask_round(self) -> None:
+        """Asks the cores what the last visible index in their logs is; any majority tells (§5.3)."""
+        askedMicros = self.clock.now()
+        askedAddresses = list(dict.fromkeys(
+            self.core_addresses() + [r.address for r in self.directory.members("anvil")]
+        ))
+        heardIndexes: dict[str, int] = {}
+        isCounted = False
+
+        async def ask_core(address: str) -> None:
+            nonlocal isCounted
+            answer = await self.courier.ask(address, "termAsk", self._term_ask(), ANSWER_MICROS)
+            if isinstance(answer, Err):
+                return
+            result: TermResult = answer.ok_value
+            self._take_members(result)
+            self._take_delta(result)
+            if result.member:
+                heardIndexes[address] = result.lastVisibleIndex
+            voterAddresses = {m.address for m in self.members.member if m.voter}
+            heardVoters = voterAddresses & set(heardIndexes)
+            if not isCounted and voterAddresses and len(heardVoters) > len(voterAddresses) // 2:
+                isCounted = True
+                self.waitingMarks.append((askedMicros, max(heardIndexes[a] for a in heardVoters)))
+            self._settle_marks()
+
+        for address in askedAddresses:
+            self.crew.start(ask_core(address))
+
+    async def _ask_colleagues(self) -> None:
+        colleagues = [r.address for r in self.directory.members("lathe")]
+        for address in self.chance.sample(colleagues, min(RELAY_COUNT, len(colleagues))):
+            self.crew.start(self._ask_colleague(address))
+
+    async def _ask_colleague(self, address: str) -> None:
+        askedMicros = self.clock.now()
+        termAsk = self._term_ask()
+        termAsk.relay = True
+        answer = await self.courier.ask(address, "termAsk", termAsk, ANSWER_MICROS)
+        if isinstance(answer, Err):
+            return
+        result: TermResult = answer.ok_value
+        self._take_members(result)
+        self._take_delta(result)
+        if result.held:
+            # The colleague knew it heldMicros before it answered, so no later than this.
+            self.waitingMarks.append((askedMicros - result.heldMicros, result.lastVisibleIndex))
+            self._settle_marks()
+
+    def _term_ask(self) -> TermAsk:
+        if self.needsWhole:
+            return TermAsk()
+        return TermAsk(haveIndex=self.view.index, haveHash=self.view.hash if self.view.index else "")
+
+    async def _answer_colleague(self, identity: str, address: str, ask: TermAsk) -> TermResult:
+        result = TermResult(
+            held=self.is_current(), heldMicros=max(self.clock.now() - self.currentAt, 0),
+            lastVisibleIndex=self.view.index, members=self.members, membersIndex=self.membersIndex,
+        )
+        delta = self.view.delta_since(ask.haveIndex)
+        if delta is not None:
+            result.delta.CopyFrom(delta)
+        return result
+
+    def _take_members(self, result: TermResult) -> None:
+        if result.membersIndex >= self.membersIndex and result.members.member:
+            self.members, self.membersIndex = result.members, result.membersIndex
+
+    def _take_delta(self, result: TermResult) -> None:
+        if not result.HasField("delta") or result.delta.index <= self.view.index:
+            return
+        nextView = self.view.with_delta(result.delta)
+        if nextView is None:
+            # Another answer may have come in between; if not, the whole digest is asked for.
+            self.needsWhole = result.delta.baseIndex == self.view.index
+            return
+        self.needsWhole = False
+        oldRevision = self.view.descriptionRevision
+        self.view = nextView
+        for lineName, fact in nextView.weights.items():
+            # A node that boots can't tell how old a roll-out is, so it grants old weights nothing (§7.4).
+            seenMicros = self.clock.now() if self.hasView else self.clock.now() - 10**12
+            self.firstSeen.setdefault((lineName, fact.revision), seenMicros)
+        self.hasView = True
+        if nextView.descriptionRevision != oldRevision:
+            LOGGER.info("lathe: Description %d is in force.", nextView.descriptionRevision)
+
+    def _settle_marks(self) -> None:
+        nowMicros = self.clock.now()
+        stillWaiting = []
+        for askedMicros, wantedIndex in self.waitingMarks:
+            if self.view.index >= wantedIndex:
+                self.currentAt = max(self.currentAt, askedMicros)
+            elif nowMicros - askedMicros <= self.termMicros:
+                stillWaiting.append((askedMicros, wantedIndex))
+        self.waitingMarks = stillWaiting
--- /dev/null
+++ b/src/pearhead/rasp/key.py
@@ -0,0 +1,38 @@
+"""Keys of kept parts (§6.6): each names its owner, its weights and every part before it."""
+
+from __future__ import annotations
+
+import hashlib
+import unittest
+
+KEY_SIZE = 16
+
+
+def chain_keys(owner: str, line: str, weightsRevision: int, parts: list[tuple[int, int]]) -> list[str]:
+    """One key a prefix length. KV of a part depends on all before it, so a key covers the chain."""
+    chainHash = hashlib.blake2b(
+        f"{len(owner)}:{owner}{len(line)}:{line}{weightsRevision}".encode(), digest_size=KEY_SIZE
+    )
+    keys = []
+    for partNumber, revision in parts:
+        chainHash.update(f"/{partNumber}.{revision}".encode())
+        keys.append(chainHash.hexdigest())
+    return keys
+
+
+def cache_salt(owner: str, line: str, weightsRevision: int) -> str:
+    return f"{owner}/{line}@{weightsRevision}"
+
+
+class ChainKeysTest(unittest.TestCase):
+    def test_owner_weights_revision_and_order_all_change_a_key(self) -> None:
+        base = chain_keys("tenant:a", "l", 1, [(1, 1), (2, 1)])
+        others = [
+            chain_keys("group:a", "l", 1, [(1, 1), (2, 1)]),
+            chain_keys("tenant:a", "l", 2, [(1, 1), (2, 1)]),
+            chain_keys("tenant:a", "l", 1, [(1, 2), (2, 1)]),
+            chain_keys("tenant:a", "l", 1, [(2, 1), (1, 1)]),
+        ]
+        for other in others:
+            self.assertNotIn(other[1], base)
+        self.assertEqual(chain_keys("tenant:a", "l", 1, [(1, 1), (2, 5)])[0], base[0])
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,116 @@
+"""Real processes on free loopback ports: a small fleet serves, and bears kills of leader and node."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from typing import Any
+
+from pearhead.jig.caller import Caller, CallerReport
+from pearhead.jig.deployment import ACADEMY, build_description
+from pearhead.jig.launcher import Launcher
+
+
+class SmallFleetTest(unittest.TestCase):
+    """One fleet for the whole story, as starting it is the costly part."""
+
+    folder: str
+    launcher: Launcher
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.folder = tempfile.mkdtemp()
+        cls.addClassCleanup(shutil.rmtree, cls.folder)
+        cls.launcher = Launcher(cls.folder)
+        cls.launcher.make_plan(ACADEMY, nodeCount=3, workerCount=3, coreCount=3)
+        cls.addClassCleanup(cls.launcher.down)
+        cls.launcher.up()
+        cls.launcher.set_up()
+        cls.launcher.wait_ready()
+
+    def call(self, jobCount: int, first: int, nodeAddresses: list[str]) -> CallerReport:
+        caller = Caller(ACADEMY, nodeAddresses, random.Random(first))
+        return asyncio.run(caller.run(jobCount, 8, first))
+
+    def runs(self) -> list[dict[str, Any]]:
+        addresses = self.launcher.addresses_of("worker") + self.launcher.addresses_of("application")
+        answers = [self.launcher.get(a, "/runs") for a in addresses]
+        return [run for answer in answers if answer for run in answer["runs"]]
+
+    def leader(self) -> str:
+        for name, process in self.launcher.plan["processes"].items():
+            if process["program"] == "anvil" and self.launcher.is_alive(name):
+                answer = self.launcher.get(process["httpAddress"], "/soundness")
+                if answer and answer["role"] == "leader":
+                    return str(name)
+        return ""
+
+    def test_jobs_apply_and_kills(self) -> None:
+        nodeAddresses = self.launcher.addresses_of("lathe")
+        report = self.call(60, 0, nodeAddresses)
+        self.assertEqual((report.outcomes, report.faults), ({"done": 60}, []))
+        self.assertGreater(report.reusedTokens, 0)
+
+        leaderName = self.leader()
+        self.launcher.send_signal(leaderName, signal.SIGKILL)
+        report = self.call(40, 100, nodeAddresses)
+        self.assertEqual((report.outcomes, report.faults), ({"done": 40}, []), "leader loss stops nothing")
+
+        description = build_description(ACADEMY)
+        description["tenants"] = [t for t in description["tenants"] if t["name"] != "trial"]
+        fleet: dict[str, Any] | None = None
+        while fleet is None:
+            for address in self.launcher.addresses_of("anvil"):
+                fleet = fleet or self.launcher.get(address, "/fleet")
+        base = fleet["descriptionRevision"]
+        body = {"applyId": "second", "base": base, "description": description}
+        answer = self.launcher.command("/apply", body)
+        self.assertEqual(answer["status"], "done", answer)
+        self.assertEqual(self.launcher.command("/apply", body), answer, "a repeat gets the first outcome")
+        stale = self.launcher.command("/apply", {**body, "applyId": "third"})
+        self.assertEqual((stale["status"], stale["revision"]), ("conflict", answer["revision"]))
+        self.launcher.wait_until(
+            lambda: all(
+                (self.launcher.get(a, "/soundness") or {}).get("descriptionRevision") == answer["revision"]
+                for a in nodeAddresses
+            ),
+            "the second description in force",
+        )
+
+        self.launcher.send_signal("node-1", signal.SIGKILL)
+        report = self.call(40, 200, nodeAddresses[1:])
+        withdrawn = report.outcomes.pop("bad_key", 0)
+        self.assertEqual((report.outcomes, report.faults), ({"done": 40 - withdrawn}, []))
+
+        self.launcher.start(leaderName)
+        self.launcher.start("node-1")
+        self.launcher.wait_ready()
+        runs = self.runs()
+        ranIds = [run["upstreamId"].split(".")[0] for run in runs]
+        self.assertEqual(len(ranIds), len(set(ranIds)), "a job ran twice")
+        self.assertFalse(set(ranIds) & report.refused, "a refused job ran")
+        self.assertEqual([run for run in runs if run["foreign"]], [])
+
+    def test_wrong_startup_is_one_clear_line(self) -> None:
+        startup = json.loads((self.launcher.folderPath / "core-1.json").read_text())
+        for changed, wanted in (
+            ({"area": 5}, "area: must be str, not int"),
+            ({}, "is held by another process"),
+            ({"dataFolder": self.folder + "/new"}, "can't start"),
+        ):
+            startupPath = self.launcher.folderPath / "changed.json"
+            startupPath.write_text(json.dumps({**startup, **changed}))
+            finished = subprocess.run(
+                [sys.executable, "-m", "pearhead.anvil.main", "run", "--startup", str(startupPath)],
+                capture_output=True, text=True, timeout=30, check=False,
+            )
+            self.assertNotEqual(finished.returncode, 0)
+            self.assertIn(wanted, finished.stderr)
+            self.assertNotIn("Traceback", finished.stderr)
