--- a/src/pearhead/anvil/fleet.py
+++ b/src/pearhead/anvil/fleet.py
@@ -179,9 +179,11 @@
             return {"status": "refused", "faults": [f"no worker {command.worker!r}"]}
         if held is not None and held["holder"] == command.holder and held["fence"] == command.renewFence:
             return {"status": "done", "fence": held["fence"]}
-        # Another holder comes in only if the leader judged this very fence waited out (§7.2).
-        isExpired = held is None or (command.expired and held["fence"] == command.renewFence)
-        if held is not None and not isExpired:
+        # Another holder comes in only if the leader judged this very fence waited out (§7.2); the same
+        # one, which let its own term run out, comes back with a later fence.
+        isFree = held is None or held["holder"] == command.holder
+        isExpired = held is not None and command.expired and held["fence"] == command.renewFence
+        if held is not None and not isFree and not isExpired:
             return {"status": "held", "holder": held["holder"], "fence": held["fence"]}
         self.holds[command.worker] = {"holder": command.holder, "fence": index}
         return {"status": "done", "fence": index}
@@ -223,6 +225,10 @@
         run(7, b"", workers=SetWorkers(worker=[Worker(name="w", address="x", service="s")]))
         self.assertEqual(run(8, b"", hold=TakeHold(worker="w", holder="n1"))["fence"], 8)
         self.assertEqual(run(9, b"", hold=TakeHold(worker="w", holder="n2"))["status"], "held")
+        other = Fleet()
+        other.load_digest(fleet.take_digest())
+        anew = Command(hold=TakeHold(worker="w", holder="n1")).SerializeToString()
+        self.assertEqual(other.apply(10, anew), {"status": "done", "fence": 10}, "back with a later fence")
         taken = run(10, b"", hold=TakeHold(worker="w", holder="n2", renewFence=8, expired=True))
         self.assertEqual(taken, {"status": "done", "fence": 10})
         stale = ConfirmLoad(worker="w", fence=8, weightsRevision=1)
--- a/src/pearhead/jig/main.py
+++ b/src/pearhead/jig/main.py
@@ -13,8 +13,10 @@
 from pearhead import PEARHEAD_RELEASE
 from pearhead.awl.socketnet import split_address
 from pearhead.jig.caller import Caller
-from pearhead.jig.deployment import description_text
+from pearhead.jig.deployment import DEPLOYMENTS, description_text
 from pearhead.jig.launcher import Launcher, deployment_named
+from pearhead.jig.sim.runner import RunOrder, run_order, run_orders
+from pearhead.jig.sim.scenarios import SCENARIOS
 from pearhead.jig.standin import build_stand_in
 
 SIGNALS = {"kill": signal.SIGKILL, "freeze": signal.SIGSTOP, "wake": signal.SIGCONT}
@@ -84,6 +86,28 @@
         if report.faults:
             raise SystemExit(1)
 
+    def sim(self, scenario: str, deployment: str = "academy", seed: int = 1, seeds: int = 1) -> None:
+        """Runs a scenario, or `all`, on virtual time for one or more seeds, and looks for breaches."""
+        deploymentNames = list(DEPLOYMENTS) if deployment == "all" else [deployment_named(deployment).name]
+        if scenario != "all" and scenario not in SCENARIOS:
+            raise SystemExit(f"jig: no scenario {scenario!r}; there are {', '.join(SCENARIOS)}")
+        orders = [
+            RunOrder(name, deploymentName, seed + extra)
+            for name in (SCENARIOS if scenario == "all" else [scenario])
+            for deploymentName in deploymentNames
+            for extra in range(seeds)
+        ]
+        results = run_orders(orders) if len(orders) > 1 else [run_order(orders[0])]
+        for result in results:
+            print(result.line())
+        if len(results) == 1 and not results[0].breaches:
+            print("\n".join(results[0].trace))
+        for result in results:
+            if result.breaches:
+                print(result.failure())
+        if any(r.breaches for r in results):
+            raise SystemExit(1)
+
     def description(self, deployment: str) -> None:
         """Prints the description file of an example deployment."""
         print(description_text(deployment_named(deployment)), end="")
--- a/src/pearhead/jig/sim/edges.py
+++ b/src/pearhead/jig/sim/edges.py
@@ -118,9 +118,7 @@
 
         async def work() -> dict[str, Any]:
             assert isinstance(backEnd.model, WorkerModel)
-            wasTaken = fence >= backEnd.model.highestFence
-            if wasTaken:
-                self.watch(self.machine.name, backEnd.machine.name, fence)
+            self.watch(self.machine.name, backEnd.machine.name, fence)
             return await backEnd.model.load(fence, f"{line}@{weights}")
 
         return await self._call(backEnd, work, limitMicros)
--- a/src/pearhead/jig/sim/fleet.py
+++ b/src/pearhead/jig/sim/fleet.py
@@ -55,6 +55,7 @@
         self.jobNumber = 0
         self.applyNumber = 0
         self.loadTasks: list[asyncio.Task[None]] = []
+        self.leavingSince: dict[str, int] = {}
         self.openJobs: set[asyncio.Task[None]] = set()
         self.descriptionRevision = 0
         self.buildNode: Callable[[NodeProcess], None] = lambda node: None
@@ -153,6 +154,9 @@
     def kill(self, name: str, losesPower: bool = False) -> None:
         self.world.note(f"{'cuts the power of' if losesPower else 'kills'} {name}")
         self.world.machine(name).crash(losesPower)
+        process = self.cores.get(name) or self.nodes.get(name)
+        if process is not None and hasattr(process, "courier"):
+            process.courier.stop()
         # The platform notices a dead node after a while, and hands no connections to it.
         self.world.loop.call_later(1.0, lambda: self.knownDead.add(name) if not self._lives(name) else None)
 
@@ -237,6 +241,7 @@
         return self.world.chance.randbytes(8)
 
     async def set_workers(self, leaving: tuple[str, ...] = (), removed: tuple[str, ...] = ()) -> None:
+        startMicros = self.world.now()
         command = Command(transaction=self.draw_transaction())
         for address, backEnd in sorted(self.backEnds.items()):
             name = backEnd.machine.name
@@ -247,8 +252,10 @@
                 name=name, address=address, area="north", service=service, leaving=name in leaving
             ))
         await self.insist(command)
+        for name in sorted(set(self.leavingSince) - {*leaving, *removed}):
+            self.ledger.leavings.append((name, self.leavingSince.pop(name), startMicros))
         for name in (*leaving, *removed):
-            self.ledger.leavings.append((name, self.world.now()))
+            self.leavingSince.setdefault(name, self.world.now())
         self.world.note(f"the worker list is acknowledged, leaving {leaving}, removed {removed}")
 
     async def apply(self, description: dict[str, Any], base: int | None = None) -> str:
@@ -292,6 +299,14 @@
         while self.openJobs and self.world.now() < endMicros:
             await pause(self.world, 100 * MILLI)
         self.ledger.endMicros = self.world.now()
+        for name, sinceMicros in self.leavingSince.items():
+            self.ledger.leavings.append((name, sinceMicros, self.world.now()))
+        await self.until(lambda: bool(self.leader()), "a leader at the end")
+        if self.leader():
+            lastFleet = self.cores[self.leader()].fleet
+            self.ledger.lastRevisions = {item["revision"] for item in lastFleet.history}
+            self.ledger.lastWeights = lastFleet.weights.get(self.deployment.line, {}).get("revision", 0)
+            self.ledger.lastParts = lastFleet.parts
         for node in self.nodes.values():
             self.ledger.retryCount += node.budget.retryCount
             self.ledger.carriedCount += node.budget.jobCount
--- a/src/pearhead/jig/sim/ledger.py
+++ b/src/pearhead/jig/sim/ledger.py
@@ -52,7 +52,7 @@
     losers: list[frozenset[str]] = field(default_factory=list)
     withdrawals: list[tuple[str, int]] = field(default_factory=list)
     namings: list[tuple[int, int, str]] = field(default_factory=list)
-    leavings: list[tuple[str, int]] = field(default_factory=list)
+    leavings: list[tuple[str, int, int]] = field(default_factory=list)
     bumps: list[tuple[str, int, str, int]] = field(default_factory=list)
     commands: list[tuple[str, str, int, int]] = field(default_factory=list)
     heals: list[int] = field(default_factory=list)
@@ -60,6 +60,9 @@
     retryCount: int = 0
     carriedCount: int = 0
     endMicros: int = 0
+    lastRevisions: set[int] = field(default_factory=set)
+    lastWeights: int = 0
+    lastParts: dict[str, dict[int, int]] = field(default_factory=dict)
 
     def outcomes(self) -> Counter[str]:
         return Counter(trace.outcome for trace in self.jobs.values())
@@ -69,7 +72,7 @@
         for check in (
             self._check_streams, self._check_runs, self._check_owners, self._check_force,
             self._check_weights, self._check_leaving, self._check_bumps, self._check_commands,
-            self._check_recovery, self._check_retries,
+            self._check_recovery, self._check_retries, self._check_lasting,
         ):
             found.extend(f"{check.__name__[7:]}: {fault}" for fault in check())
         return found
@@ -141,10 +144,12 @@
 
     def _check_leaving(self) -> list[str]:
         faults = []
-        for worker, ackMicros in self.leavings:
+        for worker, ackMicros, endMicros in self.leavings:
             for ranWorker, record in self.runs:
                 trace = self.jobs.get(record.upstreamId.split(".")[0])
-                if ranWorker == worker and trace and trace.acceptedMicros > ackMicros + LEAVING_MICROS:
+                if ranWorker != worker or trace is None:
+                    continue
+                if ackMicros + LEAVING_MICROS < trace.acceptedMicros < endMicros:
                     faults.append(f"{record.upstreamId} on leaving {worker}")
         return faults
 
@@ -190,21 +195,33 @@
             return ["no job was sent after the time for recovery"]
         return [
             f"{t.job['jobId']} at {t.node} was {t.outcome} {(t.sentMicros - max(self.heals)) / SECOND:.1f} s after"
-            for t in late if t.outcome not in ("done", "bad_key", "open")
+            for t in late if t.outcome not in ("done", "open") and not self._is_withdrawn(t)
         ]
 
+    def _check_lasting(self) -> list[str]:
+        """What was acknowledged is there at the end, whatever was lost on the way."""
+        faults = [f"revision {r} was acknowledged and is gone" for r, _ in self.applies if r not in self.lastRevisions]
+        faults += [f"weights {n} were acknowledged and are gone" for r, _, n in self.namings if r > self.lastWeights]
+        for volume, part, _, revision in self.bumps:
+            if self.lastParts.get(volume, {}).get(part, 1) < revision:
+                faults.append(f"{volume} part {part} lost revision {revision}")
+        return faults
+
     def _check_retries(self) -> list[str]:
         if self.retryCount > RETRY_SHARE * self.carriedCount:
             return [f"{self.retryCount} retries for {self.carriedCount} jobs"]
         return []
 
+    def _is_withdrawn(self, trace: JobTrace) -> bool:
+        return trace.outcome == "bad_key" and any(t == trace.tenant for t, _ in self.withdrawals)
+
     def recovery_micros(self) -> int | None:
         """From the last fault to the first second in which no job failed."""
         if not self.heals:
             return None
         start = max(self.heals)
         bad = [t.sentMicros for t in self.jobs.values()
-               if t.sentMicros >= start and t.outcome not in ("done", "bad_key", "open")]
+               if t.sentMicros >= start and t.outcome not in ("done", "open") and not self._is_withdrawn(t)]
         return max(bad) - start if bad else 0
 
 
--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -220,7 +220,29 @@
     fleet.start("worker-3")
     fleet.start("worker-1")
     await fleet.set_workers()
-    fleet.ledger.leavings.clear()
+    await settle(fleet)
+
+
+@scenario
+async def workers_crash(fleet: SimFleet) -> None:
+    """One after another, each with jobs running on it."""
+    for number in range(8):
+        name = f"worker-{number % fleet.workerCount + 1}"
+        fleet.kill(name)
+        await pause(fleet.world, 1 * SECOND)
+        fleet.start(name)
+        await pause(fleet.world, 1 * SECOND)
+    await settle(fleet)
+
+
+@scenario
+async def most_workers_down(fleet: SimFleet) -> None:
+    names = [f"worker-{n + 1}" for n in range(fleet.workerCount - 2)]
+    for name in names:
+        fleet.kill(name)
+    await pause(fleet.world, 8 * SECOND)
+    for name in names:
+        fleet.start(name)
     await settle(fleet)
 
 
@@ -232,6 +254,30 @@
     await settle(fleet)
 
 
+@scenario
+async def bumps_race(fleet: SimFleet) -> None:
+    """Many nodes bump the same parts while datagrams are lost and leaders change."""
+    fleet.world.castLoss, fleet.world.castDouble = 0.3, 0.2
+    owner = f"tenant:{fleet.deployment.tenantNames[0]}"
+    tasks = []
+    for number in range(30):
+        node = fleet.nodes[fleet.world.chance.choice(sorted(fleet.nodes))]
+        part = fleet.world.chance.randrange(1, 4)
+        tasks.append(fleet.world.loop.create_task(node.listener.bump(owner, fleet.deployment.line, part)))
+        await pause(fleet.world, 150 * MILLI)
+        if number in (8, 20):
+            fleet.kill(fleet.leader(), losesPower=True)
+            await pause(fleet.world, 2 * SECOND)
+            for name in sorted(fleet.cores):
+                if not fleet.world.machine(name).isAlive:
+                    fleet.start(name)
+    answers = [await t for t in tasks]
+    if None in answers:
+        fleet.ledger.breaches.append(f"{answers.count(None)} bumps were never answered")
+    fleet.world.castLoss = fleet.world.castDouble = 0.0
+    await settle(fleet)
+
+
 @scenario
 async def mixed_faults(fleet: SimFleet) -> None:
     """Random faults of every kind, one after another, each ended before the next."""
--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import json
 import random
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -23,7 +24,7 @@
 
 LOGGER = picologging.getLogger("pearhead")
 ROUND_MICROS = 200 * MILLI
-ASK_MICROS = SECOND
+ASK_MICROS = 700 * MILLI
 POLL_MICROS = 250 * MILLI
 WAVE_MICROS = 3_500 * MILLI
 LOAD_LIMIT_MICROS = 6 * SECOND
@@ -80,6 +81,7 @@
         self.asking: set[str] = set()
         self.reports: dict[str, _Report] = {}
         self.bumpedFor: dict[str, int] = {}
+        self.goodCore = ""
         self.servingSince: dict[str, int] = {}
         self.isDraining = False
         listener.copyWatcher = self._take_copies
@@ -130,7 +132,7 @@
             command.hold.termMicros, command.hold.renewFence = self.holdMicros, heldFence
             result = await self._command(command)
             if result is not None and result.status == "done":
-                fence = heldFence or result.index
+                fence = int(json.loads(result.body)["fence"])
                 isBusy = self.holds[name].isBusy if name in self.holds else False
                 # The term counts from before it was asked for, and ends early (§7.2).
                 self.holds[name] = _Hold(
@@ -143,11 +145,18 @@
             self.asking.discard(name)
 
     async def _command(self, command: Command) -> CommandResult | None:
+        """Asks the core that answered last, and another once that one is silent."""
         addresses = self.keeper.core_addresses()
         if not addresses:
             return None
+        if self.goodCore not in addresses:
+            self.goodCore = self.chance.choice(addresses)
+        askedCore = self.goodCore
         ask = CommandAsk(command=command.SerializeToString())
-        answer = await self.courier.ask(self.chance.choice(addresses), "commandAsk", ask, ASK_MICROS)
+        answer = await self.courier.ask(askedCore, "commandAsk", ask, ASK_MICROS)
+        isGood = not isinstance(answer, Err) and answer.ok_value.status not in ("unavailable", "unknown")
+        if not isGood and self.goodCore == askedCore:
+            self.goodCore = addresses[(addresses.index(askedCore) + 1) % len(addresses)]
         return None if isinstance(answer, Err) else answer.ok_value
 
     # ---- what a holder does ----------------------------------------------------------------------
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,37 @@
+"""Every scenario on both deployments without a breach; every checker seen to fail; runs that repeat."""
+
+from __future__ import annotations
+
+import unittest
+
+from pearhead.jig.deployment import DEPLOYMENTS
+from pearhead.jig.sim.mutations import MUTATIONS
+from pearhead.jig.sim.runner import RunOrder, run_orders
+from pearhead.jig.sim.scenarios import SCENARIOS
+
+SEEDS = (1, 2)
+
+
+class ScenariosTest(unittest.TestCase):
+    def test_no_scenario_breaks_a_rule(self) -> None:
+        orders = [RunOrder(s, d, seed) for s in SCENARIOS for d in DEPLOYMENTS for seed in SEEDS]
+        results = run_orders(orders)
+        failures = [r.failure() for r in results if r.breaches]
+        self.assertEqual(len(results), len(orders))
+        self.assertEqual(failures, [], "\n\n".join(failures))
+
+    def test_each_checker_finds_a_broken_build(self) -> None:
+        orders = [RunOrder(m.scenario, "klippvik", 1, name, 3) for name, m in MUTATIONS.items()]
+        for result in run_orders(orders):
+            wanted = MUTATIONS[result.order.mutation].wanted
+            foundChecks = {breach.split(":")[0] for breach in result.breaches}
+            with self.subTest(result.order.mutation):
+                self.assertIn(wanted, foundChecks, result.breaches[:3])
+
+    def test_a_seed_gives_the_same_run(self) -> None:
+        orders = [RunOrder("mixed-faults", "klippvik", 5, nodeCount=3)] * 2 + [
+            RunOrder("mixed-faults", "klippvik", 6, nodeCount=3)
+        ]
+        first, again, other = run_orders(orders)
+        self.assertEqual((first.runHash, first.outcomes), (again.runHash, again.outcomes))
+        self.assertNotEqual(first.runHash, other.runHash)
