--- a/src/pearhead/jig/main.py
+++ b/src/pearhead/jig/main.py
@@ -15,7 +15,8 @@
 from pearhead.jig.caller import Caller
 from pearhead.jig.deployment import DEPLOYMENTS, description_text
 from pearhead.jig.launcher import Launcher, deployment_named
-from pearhead.jig.sim.runner import RunOrder, run_order, run_orders
+from pearhead.jig.sim.measure import MEASURES, run_measure, spread
+from pearhead.jig.sim.runner import RunOrder, run_apart, run_order, run_orders
 from pearhead.jig.sim.scenarios import SCENARIOS
 from pearhead.jig.standin import build_stand_in
 
@@ -108,6 +109,17 @@
         if any(r.breaches for r in results):
             raise SystemExit(1)
 
+    def measure(self, name: str = "all", deployment: str = "all", seeds: int = 5, nodes: int = 0) -> None:
+        """Prints a table of a measurement: mean, least and most over seeds."""
+        for measureName in MEASURES if name == "all" else [name]:
+            for deploymentName in DEPLOYMENTS if deployment == "all" else [deployment_named(deployment).name]:
+                orders = [(measureName, deploymentName, seed + 1, nodes) for seed in range(seeds)]
+                rows = run_apart(run_measure, orders)
+                print(f"| {measureName}, {deploymentName}, {seeds} seeds | mean | least | most |")
+                print("| --- | --- | --- | --- |")
+                print("\n".join(spread(rows)))
+                print()
+
     def description(self, deployment: str) -> None:
         """Prints the description file of an example deployment."""
         print(description_text(deployment_named(deployment)), end="")
--- a/src/pearhead/jig/sim/runner.py
+++ b/src/pearhead/jig/sim/runner.py
@@ -6,7 +6,9 @@
 import multiprocessing
 import time
 import traceback
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import picologging
 
@@ -14,6 +16,8 @@
 from pearhead.jig.sim.scenarios import run_scenario
 
 TRACE_LINES = 25
+OrderT = TypeVar("OrderT")
+ResultT = TypeVar("ResultT")
 
 
 @dataclass(frozen=True)
@@ -73,6 +77,11 @@
 
 
 def run_orders(orders: list[RunOrder]) -> list[RunResult]:
+    return run_apart(run_order, orders)
+
+
+def run_apart(work: Callable[[OrderT], ResultT], orders: list[OrderT]) -> list[ResultT]:
+    """Each order in a process of its own, so that a broken build leaves nothing behind."""
     context = multiprocessing.get_context("spawn")
     with concurrent.futures.ProcessPoolExecutor(mp_context=context, max_tasks_per_child=1) as pool:
-        return list(pool.map(run_order, orders))
+        return list(pool.map(work, orders))
--- a/src/pearhead/lathe/front.py
+++ b/src/pearhead/lathe/front.py
@@ -8,25 +8,42 @@
 
 from result import Err
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, RequestHandler
+from tornado.web import Application, RequestHandler, stream_request_body
 
 from pearhead.awl.startup import Startup
 from pearhead.lathe.carry import PenGone
-from pearhead.lathe.errors import ERROR_TABLE, ErrorKind, Refusal
+from pearhead.lathe.errors import ERROR_TABLE, NOT_RUN, ErrorKind, Refusal
 from pearhead.lathe.job import read_job
 from pearhead.lathe.node import NodeProcess
 
 
+@stream_request_body
 class JobHandler(RequestHandler):
     def initialize(self, node: NodeProcess, startup: Startup) -> None:
         self.node = node
         self.startup = startup
         self.lineCount = 0
         self.jobTask: asyncio.Task[Any] | None = None
+        self.bodyChunks: list[bytes] = []
+        self.bodySize = 0
+
+    def prepare(self) -> None:
+        """Too large a body is refused by its head, before it is read."""
+        sizeText = self.request.headers.get("Content-Length", "0")
+        if sizeText.isdigit() and int(sizeText) > self.startup.bodyLimitBytes:
+            self._refuse(Refusal(ErrorKind.TOO_LARGE, f"over {self.startup.bodyLimitBytes} bytes"))
+
+    def data_received(self, chunk: bytes) -> None:
+        self.bodySize += len(chunk)
+        if self.bodySize <= self.startup.bodyLimitBytes:
+            self.bodyChunks.append(chunk)
 
     async def post(self) -> None:
         self.jobTask = asyncio.current_task()
-        request = read_job(self.request.body)
+        if self.bodySize > self.startup.bodyLimitBytes:
+            self._refuse(Refusal(ErrorKind.TOO_LARGE, f"over {self.startup.bodyLimitBytes} bytes"))
+            return
+        request = read_job(b"".join(self.bodyChunks))
         if isinstance(request, Err):
             self._refuse(request.err_value)
             return
@@ -35,7 +52,7 @@
             keyText = ""
         outcome = await self.node.run_job(keyText, request.ok_value, HandlerPen(self))
         if isinstance(outcome, Err):
-            if self.lineCount:
+            if self._headers_written:
                 self._abort()
             else:
                 self._refuse(outcome.err_value)
@@ -64,16 +81,24 @@
 
     def _abort(self) -> None:
         """A cut stream is never closed as a whole one: the last chunk is not sent (§8.1)."""
+        self._auto_finish = False
         connection: Any = self.request.connection
         connection.stream.close()
 
-    def write_error(self, status_code: int, **kwargs: Any) -> None:
-        if self.lineCount:
+    def send_error(self, status_code: int = 500, **kwargs: Any) -> None:
+        """The library would close a begun stream as a whole one here."""
+        if self._headers_written:
             self._abort()
+        else:
+            super().send_error(status_code, **kwargs)
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        if status_code < 500:
+            self.set_status(status_code)
+            self.finish({"error": ErrorKind.MALFORMED.value, "ran": NOT_RUN, "detail": self._reason})
         else:
             # A fault of ours: whether the job ran is not known here.
-            kind = ErrorKind.MALFORMED if status_code < 500 else ErrorKind.OUTCOME_UNKNOWN
-            self._refuse(Refusal(kind, self._reason))
+            self._refuse(Refusal(ErrorKind.OUTCOME_UNKNOWN, self._reason))
 
 
 class HandlerPen:
@@ -92,11 +117,18 @@
         self.finish(self.node.soundness())
 
 
+class NoSuchPathHandler(RequestHandler):
+    def prepare(self) -> None:
+        self.set_status(404)
+        self.finish({"error": ErrorKind.MALFORMED.value, "ran": NOT_RUN, "detail": "no such path"})
+
+
 def build_front(node: NodeProcess, startup: Startup) -> Application:
     return Application(
         [
             ("/v1/jobs", JobHandler, {"node": node, "startup": startup}),
             ("/soundness", SoundnessHandler, {"node": node}),
         ],
+        default_handler_class=NoSuchPathHandler,
         log_function=lambda handler: None,
     )
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,222 @@
+"""The HTTP edge towards callers, in one process: a node with a given view and a carrier of the test's own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import socket
+import unittest
+from collections.abc import AsyncGenerator
+from typing import Any
+
+from result import Err, Ok, Result
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from pearhead.awl.bench import Bench
+from pearhead.awl.clock import BootClock
+from pearhead.awl.startup import Startup
+from pearhead.awl.view import View
+from pearhead.jig.deployment import ACADEMY, build_description, tenant_key
+from pearhead.lathe.carry import CUT, CarryFault, UpstreamJob
+from pearhead.lathe.front import HandlerPen, build_front
+from pearhead.lathe.node import NodeProcess
+
+CHUNK = "x" * 100_000
+
+
+class ScriptedCarrier:
+    """Yields what the test says, and notes how far it came and whether it was closed."""
+
+    def __init__(self) -> None:
+        self.lineCount = 2
+        self.text = "t"
+        self.cutAfter: int | None = None
+        self.yieldedCount = 0
+        self.startedCount = 0
+        self.closed = asyncio.Event()
+
+    async def carry(self, workerAddress: str, upstreamJob: UpstreamJob) -> AsyncGenerator[dict[str, Any], None]:
+        self.startedCount += 1
+        identity = f"cmpl-{upstreamJob.upstreamId}"
+        try:
+            for number in range(self.lineCount):
+                if number == self.cutAfter:
+                    raise CarryFault(CUT, "scripted")
+                await asyncio.sleep(0)
+                self.yieldedCount += 1
+                yield {"id": identity, "choices": [{"text": self.text}]}
+            yield {"id": identity, "choices": [], "usage": {}}
+        finally:
+            self.closed.set()
+
+
+class NoLink:
+    async def load(
+        self, address: str, fence: int, line: str, weights: str, limitMicros: int
+    ) -> Result[dict[str, Any], str]:
+        return Err("none")
+
+    async def events(self, address: str, life: str, after: int) -> Result[dict[str, Any], str]:
+        return Ok({})
+
+
+def make_view(tenants: list[dict[str, Any]] | None = None) -> View:
+    description = build_description(ACADEMY)
+    if tenants is not None:
+        description["tenants"] = tenants
+    bodies = {
+        "description": {"revision": 5, "description": description},
+        "workers": {"desk": {"address": "x:1", "area": "a", "service": "desk", "leaving": False}},
+    }
+    sections = dict(View().sections)
+    for name, body in bodies.items():
+        sections[name] = (5, json.dumps(body).encode())
+    return View(5, sections)
+
+
+class FrontTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.carrier = ScriptedCarrier()
+        startup = Startup(
+            address="a:1", httpAddress="a:2", area="a", seeds=["s:1"], bodyLimitBytes=10_000
+        )
+        self.node = NodeProcess(startup, BootClock(), Bench(), self.carrier, NoLink(), random.Random(1))
+        self.node.keeper.view = make_view()
+        self.node.keeper.is_current = lambda: True  # type: ignore[method-assign]
+        boundSockets = bind_sockets(0, "127.0.0.1", family=socket.AF_INET)
+        self.portNumber = boundSockets[0].getsockname()[1]
+        self.server = HTTPServer(build_front(self.node, startup))
+        self.server.add_sockets(boundSockets)
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.portNumber, limit=2**16)
+
+    async def asyncTearDown(self) -> None:
+        self.writer.close()
+        self.server.stop()
+        await self.server.close_all_connections()
+
+    def send(self, body: bytes, key: str = "", path: str = "/v1/jobs", size: int | None = None) -> None:
+        key = key or tenant_key(ACADEMY, "trial")
+        self.writer.write(
+            f"POST {path} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}\r\n"
+            f"Content-Length: {len(body) if size is None else size}\r\n\r\n".encode() + body
+        )
+
+    def notice(self, **more: Any) -> bytes:
+        return json.dumps({"model": ACADEMY.line, "kind": "notice", "body": "b", "jobId": "j", **more}).encode()
+
+    async def answer(self) -> tuple[int, bytes, bool]:
+        """Status, body and whether the body ended as whole."""
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        status = int(head.split()[1])
+        headers = {k.lower(): v.strip() for k, _, v in (x.partition(":") for x in head.split("\r\n")[1:])}
+        if "content-length" in headers:
+            return status, await self.reader.readexactly(int(headers["content-length"])), True
+        body = b""
+        while True:
+            sizeLine = await self.reader.readline()
+            if not sizeLine.endswith(b"\r\n"):
+                return status, body, False
+            chunk = await self.reader.readexactly(int(sizeLine, 16) + 2)
+            if len(chunk) == 2:
+                return status, body, True
+            body += chunk[:-2]
+
+    async def refusal(self) -> tuple[int, str, str]:
+        status, body, _ = await self.answer()
+        data = json.loads(body)
+        return status, data["error"], data["ran"]
+
+    async def test_a_whole_stream_and_a_cut_one_end_apart(self) -> None:
+        self.send(self.notice())
+        status, body, isWhole = await self.answer()
+        lines = [json.loads(x) for x in body.splitlines()]
+        self.assertEqual((status, isWhole, [x["job"] for x in lines]), (200, True, ["j"] * 3))
+        self.assertEqual((lines[-1]["end"], lines[-1]["lines"]), (True, 2))
+        self.carrier.cutAfter = 1
+        self.send(self.notice())
+        status, body, isWhole = await self.answer()
+        self.assertEqual((status, isWhole, len(body.splitlines())), (200, False, 1))
+
+    async def test_a_fault_of_ours_after_the_first_line_is_a_cut_too(self) -> None:
+        realWrite = HandlerPen.write
+
+        async def write(self: HandlerPen, line: dict[str, Any]) -> None:
+            await realWrite(self, line)
+            raise ValueError("a defect")
+
+        HandlerPen.write = write  # type: ignore[method-assign]
+        self.addCleanup(setattr, HandlerPen, "write", realWrite)
+        self.send(self.notice())
+        self.assertEqual((await self.answer())[2], False)
+
+    async def test_bad_input_has_its_own_answer(self) -> None:
+        cases = [
+            (self.notice(), "wrong", (401, "bad_key", "not_run")),
+            (b"{", "", (400, "malformed", "not_run")),
+            (self.notice(more=1), "", (400, "unknown_field", "not_run")),
+            (self.notice(model="m"), "", (404, "unknown_model", "not_run")),
+            (self.notice(kind="k"), "", (404, "unknown_kind", "not_run")),
+            (self.notice(deadlineMicros=-1), "", (408, "deadline_passed", "not_run")),
+            (self.notice(kind=ACADEMY.shortKind), "", (503, "no_worker", "not_run")),
+        ]
+        for body, key, wanted in cases:
+            self.send(body, key)
+            self.assertEqual(await self.refusal(), wanted)
+        self.assertEqual(self.carrier.startedCount, 0)
+        self.send(b"", size=20_000)
+        self.assertEqual(await self.refusal(), (413, "too_large", "not_run"))
+
+    async def test_a_failure_before_the_first_line_is_no_refusal(self) -> None:
+        description = build_description(ACADEMY)
+        description["entries"][2]["repeatable"] = False
+        sections = dict(make_view().sections)
+        sections["description"] = (5, json.dumps({"revision": 5, "description": description}).encode())
+        self.node.keeper.view = View(5, sections)
+        self.carrier.cutAfter = 0
+        self.send(self.notice())
+        self.assertEqual(await self.refusal(), (502, "outcome_unknown", "unknown"))
+        self.assertEqual(self.carrier.startedCount, 1)
+
+    async def test_a_repeatable_job_that_fails_again_is_no_refusal_either(self) -> None:
+        self.node.budget.tokens["desk"] = 5.0
+        self.carrier.cutAfter = 0
+        self.send(self.notice())
+        self.assertEqual(await self.refusal(), (502, "outcome_unknown", "unknown"))
+
+    async def test_a_key_withdrawn_under_an_open_connection_stops_the_next_job(self) -> None:
+        self.send(self.notice())
+        self.assertEqual((await self.answer())[0], 200)
+        tenants = [t for t in build_description(ACADEMY)["tenants"] if t["name"] != "trial"]
+        self.node.keeper.view = make_view(tenants)
+        self.send(self.notice())
+        self.assertEqual(await self.refusal(), (401, "bad_key", "not_run"))
+
+    async def test_a_caller_that_goes_away_ends_the_upstream(self) -> None:
+        self.carrier.lineCount = 10**9
+        self.send(self.notice())
+        await self.reader.readuntil(b"\r\n\r\n")
+        self.writer.close()
+        await asyncio.wait_for(self.carrier.closed.wait(), 10)
+        while self.node.openJobs:
+            await asyncio.sleep(0)
+        self.assertEqual(self.node.nominator.runningCounts, {})
+
+    async def test_a_slow_caller_slows_the_upstream_down(self) -> None:
+        self.carrier.lineCount, self.carrier.text = 2_000, CHUNK
+        self.send(self.notice())
+        await self.reader.readuntil(b"\r\n\r\n")
+        turnsWithoutProgress, lastCount = 0, -1
+        while turnsWithoutProgress < 2_000:
+            await asyncio.sleep(0)
+            isStill = self.carrier.yieldedCount == lastCount
+            turnsWithoutProgress = turnsWithoutProgress + 1 if isStill else 0
+            lastCount = self.carrier.yieldedCount
+        self.assertLess(lastCount * len(CHUNK), 40_000_000, "200 MB must not pile up in between")
+        self.assertLess(lastCount, self.carrier.lineCount)
+
+    async def test_a_draining_node_refuses_new_jobs_and_ends_accepted_ones(self) -> None:
+        self.node.isDraining = True
+        self.send(self.notice())
+        self.assertEqual(await self.refusal(), (503, "draining", "not_run"))
