loupe, record and replay, planner, offline folder reader, rescue, CloudEvents

Cause: operators could not ask a running fleet, a stopped folder or a recorded load anything, and the loss of two disks had no way back. Weighed: a way back by itself (would let two halves found twice), refused; the rescue wants the survivor's identity and a sentence of consent. Before: nothing. Conclusion: the toolbox reads only; rescue alone writes.

--- a/src/pearhead/anvil/core.py
+++ b/src/pearhead/anvil/core.py
@@ -46,6 +46,10 @@
 CARE_MICROS = 300 * MILLI
 JOIN_MICROS = 700 * MILLI
 IDENTITY_FILE = "identity"
+EVENT_TYPES = {
+    "apply": "description.applied", "workers": "workers.changed", "weights": "weights.named",
+    "confirm": "load.confirmed",
+}
 
 
 class CoreProcess:
@@ -65,6 +69,7 @@
         self.leaderSince = 0
         self.heardVoters: dict[str, int] = {}
         self.identity = ""
+        self.tellEvent: Callable[[str, int, dict[str, Any]], None] = lambda typeName, index, data: None
         self.raft: RaftMember
         self.courier: Courier
         self.directory: Directory
@@ -84,6 +89,7 @@
         )
         await self.raft.recover()
         self.raft.leadershipWatchers.append(self._take_leadership)
+        self.raft.membersWatcher = self._take_members
         self.serializer = Serializer(
             self, self.courier, self.directory, self.clock, self.crew, self.startup.tableLifetimeMicros
         )
@@ -140,6 +146,8 @@
             self.holdSeen[command.hold.worker] = (outcome["fence"], self.clock.now())
         elif bodyName == "apply" and outcome["status"] == "done":
             self._join_volumes()
+        if bodyName in EVENT_TYPES and outcome["status"] == "done" and self.raft.is_leader():
+            self.tellEvent(EVENT_TYPES[bodyName], index, {"revision": index})
         return outcome
 
     def take_digest(self) -> bytes:
@@ -344,6 +352,10 @@
             await self.raft.change_members(changed)
             return
 
+    def _take_members(self, index: int, members: Members) -> None:
+        voters = [m.address for m in members.member if m.voter]
+        self.tellEvent("members.changed", index, {"voters": voters})
+
     def _take_leadership(self, leads: bool) -> None:
         self.leaderSince = self.clock.now()
 
@@ -351,6 +363,8 @@
 
     def soundness(self) -> dict[str, Any]:
         return {
+            "kind": "core", "area": self.startup.area, "digestIndex": self.raft.digestIndex,
+            "holds": self.fleet.holds,
             "identity": self.identity, "address": self.startup.address, "role": self.raft.role,
             "epoch": self.raft.epoch, "leader": self.raft.leader_address(),
             "commitIndex": self.raft.commitIndex, "lastIndex": self.raft.last_index(),
--- /dev/null
+++ b/src/pearhead/anvil/events.py
@@ -0,0 +1,88 @@
+"""EventTeller (§10.5): CloudEvents for changes, by the library, bounded, best-effort, in nobody's way."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import picologging
+from cloudevents.core.bindings.http import to_structured_event
+from cloudevents.core.v1.event import CloudEvent
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+LOGGER = picologging.getLogger("pearhead")
+QUEUE_LIMIT = 256
+POST_SECONDS = 2.0
+SOURCE = "pearhead/core"
+
+Post = Callable[[dict[str, str], bytes], Coroutine[Any, Any, bool]]
+
+
+def http_post(sinkUrl: str) -> Post:
+    async def post(headers: dict[str, str], body: bytes) -> bool:
+        request = HTTPRequest(
+            sinkUrl, method="POST", headers=headers, body=body, request_timeout=POST_SECONDS, follow_redirects=False
+        )
+        try:
+            await AsyncHTTPClient().fetch(request)
+        except (HTTPClientError, OSError):
+            return False
+        return True
+
+    return post
+
+
+class EventTeller:
+    """The oldest events go first when the sink is slow; each is tried once."""
+
+    def __init__(self, post: Post) -> None:
+        self.post = post
+        self.waiting: deque[CloudEvent] = deque(maxlen=QUEUE_LIMIT)
+        self.wake = asyncio.Event()
+        self.toldCount = 0
+        self.lostCount = 0
+
+    def tell(self, typeName: str, index: int, data: dict[str, Any]) -> None:
+        if len(self.waiting) == QUEUE_LIMIT:
+            self.lostCount += 1
+        attributes = {"id": f"{typeName}-{index}", "type": f"pearhead.{typeName}", "source": SOURCE}
+        self.waiting.append(CloudEvent({**attributes, "datacontenttype": "application/json"}, data))
+        self.wake.set()
+
+    async def run(self) -> None:
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            while self.waiting:
+                message = to_structured_event(self.waiting.popleft())
+                isTold = await self.post(dict(message.headers), message.body)
+                self.toldCount += isTold
+                self.lostCount += not isTold
+
+
+class EventTellerTest(unittest.TestCase):
+    def test_a_slow_sink_loses_the_oldest_and_blocks_nobody(self) -> None:
+        posted: list[bytes] = []
+
+        async def post(headers: dict[str, str], body: bytes) -> bool:
+            posted.append(body)
+            return len(posted) != 1
+
+        async def tell() -> EventTeller:
+            teller = EventTeller(post)
+            for index in range(QUEUE_LIMIT + 5):
+                teller.tell("weights.named", index, {"line": "l"})
+            runTask = asyncio.ensure_future(teller.run())
+            while teller.waiting:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            runTask.cancel()
+            return teller
+
+        teller = asyncio.run(tell())
+        self.assertEqual((teller.toldCount, teller.lostCount), (QUEUE_LIMIT - 1, 6))
+        self.assertIn(b'"id": "weights.named-5"', posted[0])
+        self.assertIn(b'"type": "pearhead.weights.named"', posted[0])
--- a/src/pearhead/anvil/main.py
+++ b/src/pearhead/anvil/main.py
@@ -8,15 +8,17 @@
 from pathlib import Path
 from typing import Any
 
-import fire
 import picologging
 from result import Err
 from tornado.httpserver import HTTPServer
 
-from pearhead import PEARHEAD_RELEASE
 from pearhead.anvil.core import CoreProcess
+from pearhead.anvil.events import EventTeller, http_post
+from pearhead.anvil.folder import FolderReader
 from pearhead.anvil.operatorapi import build_operator_api
+from pearhead.anvil.rescue import Rescue
 from pearhead.awl.clock import BootClock
+from pearhead.awl.command import run_command
 from pearhead.awl.daemon import open_logs, serve_until_stopped
 from pearhead.awl.description import MAXIMUM_DESCRIPTION
 from pearhead.awl.disk import FolderBusy, FolderDisk
@@ -56,6 +58,10 @@
     except OSError as fault:
         print(f"anvil: can't start: {fault}", file=sys.stderr)
         return 2
+    if startup.eventSink:
+        teller = EventTeller(http_post(startup.eventSink))
+        core.tellEvent = teller.tell
+        core.crew.start(teller.run())
     status = await serve_until_stopped(core.drain, failed)
     server.stop()
     core.stop()
@@ -74,6 +80,28 @@
         open_logs(checked.ok_value.logLevel)
         raise SystemExit(asyncio.run(_serve(checked.ok_value)))
 
+    def inspect(self, folder: str) -> None:
+        """Looks at a data folder, read-only: log, digests, epochs, members. Non-zero if it is damaged."""
+        folderPath = Path(folder)
+        if not folderPath.is_dir():
+            return end_with("anvil", [f"{folder}: no such folder"])
+        reader = FolderReader(folderPath)
+        report = asyncio.run(reader.read())
+        print(reader.text(report))
+        if report.faults:
+            raise SystemExit(3)
+
+    def rescue(self, folder: str, identity: str, address: str, consent: str) -> None:
+        """Last resort after two of three cores are lost: makes the core of this folder the only voter."""
+        try:
+            disk = FolderDisk(Path(folder))
+        except (FolderBusy, OSError) as fault:
+            return end_with("anvil", [str(fault)])
+        outcome = asyncio.run(Rescue(disk).run(str(identity), address, consent))
+        if isinstance(outcome, Err):
+            return end_with("anvil", [outcome.err_value])
+        print(f"anvil: core {identity} is the only voter from entry {outcome.ok_value} on")
+
     def check(self, startup: str = "", **flags: Any) -> None:
         """Checks a startup file and flags, and lists every fault."""
         checked = read_startup(startup, flags, needsFolder=True)
@@ -83,10 +111,7 @@
 
 
 def main() -> None:
-    if sys.argv[1:] == ["--version"]:
-        print(f"anvil {PEARHEAD_RELEASE}")
-        return
-    fire.Fire(AnvilCommand, name="anvil")
+    run_command(AnvilCommand, "anvil")
 
 
 if __name__ == "__main__":
--- a/src/pearhead/anvil/operatorapi.py
+++ b/src/pearhead/anvil/operatorapi.py
@@ -120,7 +120,17 @@
         self.finish(outcome or {"status": "unseen"})
 
 
-class SoundnessHandler(OperatorHandler):
+class InspectHandler(OperatorHandler):
+    def get(self) -> None:
+        self.finish(self.core.soundness())
+
+
+class SoundnessHandler(RequestHandler):
+    """Open to the platform, which asks whether a core lives."""
+
+    def initialize(self, core: CoreProcess, startup: Startup) -> None:
+        self.core = core
+
     def get(self) -> None:
         self.finish(self.core.soundness())
 
@@ -134,6 +144,7 @@
             ("/workers", WorkersHandler, parts),
             ("/weights", WeightsHandler, parts),
             ("/fleet", FleetHandler, parts),
+            ("/inspect", InspectHandler, parts),
             ("/soundness", SoundnessHandler, parts),
         ],
         log_function=lambda handler: None,
--- /dev/null
+++ b/src/pearhead/anvil/rescue.py
@@ -0,0 +1,39 @@
+"""Rescue (§4.6): the last resort after two of three cores are lost. It can't be run by accident."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from pearhead.awl.disk import Disk
+from pearhead.awl.wire_pb2 import Entry, LogRecord, Mark, Member, Members
+from pearhead.vise.raft import KIND_MEMBERS
+from pearhead.vise.wal import Wal
+
+CONSENT = "acknowledged work may be lost"
+
+
+class Rescue:
+    """Makes the one core that is left the only voter; empty machines then join it as usual."""
+
+    def __init__(self, disk: Disk) -> None:
+        self.disk = disk
+
+    async def run(self, identity: str, address: str, consent: str) -> Result[int, str]:
+        if consent != CONSENT:
+            return Err(f"say --consent '{CONSENT}', and mean it")
+        if "identity" not in self.disk.names():
+            return Err("no core ever ran in this folder")
+        if self.disk.read("identity").decode() != identity:
+            return Err(f"this folder is of core {self.disk.read('identity').decode()}; name it by --identity")
+        wal = Wal(self.disk)
+        recovered = await wal.recover()
+        digestIndex = recovered.digest.index if recovered.digest else 0
+        lastIndex = recovered.entries[-1].index if recovered.entries else digestIndex
+        if not lastIndex:
+            return Err("this core's log is empty: there is nothing to rescue")
+        # Two epochs up, so that nothing of the old membership can match it.
+        epoch = recovered.mark.epoch + 2
+        alone = Members(member=[Member(identity=identity, address=address, voter=True)])
+        entry = Entry(index=lastIndex + 1, epoch=epoch, kind=KIND_MEMBERS, payload=alone.SerializeToString())
+        await wal.append([LogRecord(mark=Mark(epoch=epoch, votedFor=identity)), LogRecord(entry=entry)])
+        return Ok(entry.index)
--- /dev/null
+++ b/src/pearhead/awl/command.py
@@ -0,0 +1,25 @@
+"""run_command (§3.4): what all command lines do alike: the version, closed pipes, interrupts."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import fire
+
+from pearhead import PEARHEAD_RELEASE
+
+
+def run_command(command: type, programName: str) -> None:
+    if sys.argv[1:] == ["--version"]:
+        print(f"{programName} {PEARHEAD_RELEASE}")
+        return
+    try:
+        fire.Fire(command, name=programName)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Whoever read our output has seen enough.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        raise SystemExit(1) from None
+    except KeyboardInterrupt:
+        raise SystemExit(130) from None
--- a/src/pearhead/awl/startup.py
+++ b/src/pearhead/awl/startup.py
@@ -29,6 +29,7 @@
     founders: list[str] = field(default_factory=list)
     operatorKey: str = ""
     logLevel: str = "INFO"
+    eventSink: str = ""
     termMicros: int = 2 * SECOND
     tableLifetimeMicros: int = 30 * SECOND
     holdMicros: int = 3 * SECOND
@@ -59,6 +60,8 @@
         faults.append("area: must not be empty")
     if needsFolder and not startup.dataFolder:
         faults.append("dataFolder: a core process needs one")
+    if startup.eventSink and not startup.eventSink.startswith("http://"):
+        faults.append("eventSink: must be an http:// address")
     if startup.logLevel not in ("DEBUG", "INFO", "WARNING", "ERROR"):
         faults.append("logLevel: must be DEBUG, INFO, WARNING or ERROR")
     for startupField in dataclasses.fields(startup):
--- a/src/pearhead/chisel/main.py
+++ b/src/pearhead/chisel/main.py
@@ -13,10 +13,9 @@
 from pathlib import Path
 from typing import Any
 
-import fire
 from result import Err
 
-from pearhead import PEARHEAD_RELEASE
+from pearhead.awl.command import run_command
 from pearhead.awl.description import read_description
 
 PARTIAL_NAMES = ("lines", "services", "entries", "tenants")
@@ -187,11 +186,8 @@
 
 
 def main() -> None:
-    if sys.argv[1:] == ["--version"]:
-        print(f"chisel {PEARHEAD_RELEASE}")
-        return
     try:
-        fire.Fire(ChiselCommand, name="chisel")
+        run_command(ChiselCommand, "chisel")
     except ChiselFault as fault:
         print(f"chisel: {fault}", file=sys.stderr)
         raise SystemExit(1) from None
--- a/src/pearhead/jig/main.py
+++ b/src/pearhead/jig/main.py
@@ -3,19 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import signal
-import sys
+from pathlib import Path
 
-import fire
 from tornado.httpserver import HTTPServer
 
-from pearhead import PEARHEAD_RELEASE
+from pearhead.awl.command import run_command
 from pearhead.awl.socketnet import split_address
 from pearhead.jig.caller import Caller
 from pearhead.jig.deployment import DEPLOYMENTS, description_text
 from pearhead.jig.launcher import Launcher, deployment_named
 from pearhead.jig.sim.measure import MEASURES, run_measure, spread
+from pearhead.jig.sim.recording import compare, plan, read_recording, replay
 from pearhead.jig.sim.runner import RunOrder, run_apart, run_order, run_orders
 from pearhead.jig.sim.scenarios import SCENARIOS
 from pearhead.jig.standin import build_stand_in
@@ -87,13 +88,14 @@
         if report.faults:
             raise SystemExit(1)
 
-    def sim(self, scenario: str, deployment: str = "academy", seed: int = 1, seeds: int = 1) -> None:
+    def sim(self, scenario: str, deployment: str = "academy", seed: int = 1, seeds: int = 1,
+            record: str = "") -> None:
         """Runs a scenario, or `all`, on virtual time for one or more seeds, and looks for breaches."""
         deploymentNames = list(DEPLOYMENTS) if deployment == "all" else [deployment_named(deployment).name]
         if scenario != "all" and scenario not in SCENARIOS:
             raise SystemExit(f"jig: no scenario {scenario!r}; there are {', '.join(SCENARIOS)}")
         orders = [
-            RunOrder(name, deploymentName, seed + extra)
+            RunOrder(name, deploymentName, seed + extra, recordPath=record)
             for name in (SCENARIOS if scenario == "all" else [scenario])
             for deploymentName in deploymentNames
             for extra in range(seeds)
@@ -109,6 +111,16 @@
         if any(r.breaches for r in results):
             raise SystemExit(1)
 
+    def replay(self, recording: str, description: str = "", faults: bool = True) -> None:
+        """Plays a recording again, on another description or this build, and shows the difference."""
+        held = read_recording(recording)
+        given = json.loads(Path(description).read_text()) if description else None
+        print("\n".join(compare(held, replay(held, given, faults))))
+
+    def plan(self, recording: str, description: str) -> None:
+        """Tells what a description would do with a recorded load, before it is applied."""
+        print("\n".join(plan(read_recording(recording), json.loads(Path(description).read_text()))))
+
     def measure(self, name: str = "all", deployment: str = "all", seeds: int = 5, nodes: int = 0) -> None:
         """Prints a table of a measurement: mean, least and most over seeds."""
         for measureName in MEASURES if name == "all" else [name]:
@@ -140,10 +152,7 @@
 
 
 def main() -> None:
-    if sys.argv[1:] == ["--version"]:
-        print(f"jig {PEARHEAD_RELEASE}")
-        return
-    fire.Fire(JigCommand, name="jig")
+    run_command(JigCommand, "jig")
 
 
 if __name__ == "__main__":
--- a/src/pearhead/jig/sim/fleet.py
+++ b/src/pearhead/jig/sim/fleet.py
@@ -63,6 +63,7 @@
         self.applyNumber = 0
         self.loadTasks: list[asyncio.Task[None]] = []
         self.burstTask: asyncio.Task[None] | None = None
+        self.actions: list[tuple[int, str, dict[str, Any]]] = []
         self.leavingSince: dict[str, int] = {}
         self.openJobs: set[asyncio.Task[None]] = set()
         self.descriptionRevision = 0
@@ -152,7 +153,20 @@
         assert isinstance(model, WorkerModel)
         return model
 
+    def _act(self, kind: str, **more: Any) -> None:
+        self.actions.append((self.world.now(), kind, more))
+
+    def cut(self, firstNames: list[str], secondNames: list[str], bothWays: bool = True) -> None:
+        before = set(self.world.cuts)
+        self.world.cut(firstNames, secondNames, bothWays)
+        self._act("cut", pairs=[list(pair) for pair in sorted(self.world.cuts - before)])
+
+    def heal(self) -> None:
+        self._act("heal")
+        self.world.heal()
+
     def start(self, name: str) -> None:
+        self._act("start", name=name)
         self.knownDead.discard(name)
         if name.startswith("core-"):
             self.start_core(name)
@@ -162,6 +176,7 @@
             self.start_back_end(name)
 
     def kill(self, name: str, losesPower: bool = False) -> None:
+        self._act("power" if losesPower else "kill", name=name)
         self.world.note(f"{'cuts the power of' if losesPower else 'kills'} {name}")
         self.world.machine(name).crash(losesPower)
         process = self.cores.get(name) or self.nodes.get(name)
@@ -186,10 +201,12 @@
         self.kill(name)
 
     def freeze(self, name: str) -> None:
+        self._act("freeze", name=name)
         self.world.note(f"freezes {name}")
         self.world.machine(name).freeze()
 
     def wake(self, name: str) -> None:
+        self._act("wake", name=name)
         self.world.note(f"wakes {name}")
         self.world.machine(name).wake()
 
@@ -333,6 +350,7 @@
     async def name_weights(self, name: str) -> None:
         command = Command(transaction=self.draw_transaction())
         command.weights.line, command.weights.weights = self.deployment.line, name
+        self._act("weights", weights=name)
         result = await self.insist(command)
         self.ledger.namings.append((json.loads(result.body)["revision"], self.world.now(), name))
         self.world.note(f"weights {name} are acknowledged")
--- a/src/pearhead/jig/sim/runner.py
+++ b/src/pearhead/jig/sim/runner.py
@@ -27,6 +27,7 @@
     seed: int
     mutation: str = ""
     nodeCount: int = 0
+    recordPath: str = ""
 
     def command(self) -> str:
         return f"jig sim {self.scenario} --deployment {self.deployment} --seed {self.seed}"
@@ -66,7 +67,9 @@
     startSeconds = time.monotonic()
     try:
         prepare = MUTATIONS[order.mutation].prepare if order.mutation else lambda fleet: None
-        ledger, world = run_scenario(order.scenario, order.deployment, order.seed, prepare, order.nodeCount)
+        ledger, world = run_scenario(
+            order.scenario, order.deployment, order.seed, prepare, order.nodeCount, order.recordPath
+        )
     except Exception:  # noqa: BLE001 - a crash of the simulator is a failed run, told with its place
         return RunResult(order, breaches=[traceback.format_exc()])
     return RunResult(
--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -4,11 +4,15 @@
 
 from collections.abc import Awaitable, Callable
 
+from result import Err
+
+from pearhead.anvil.rescue import CONSENT, Rescue
 from pearhead.awl.clock import MILLI, SECOND
 from pearhead.jig.deployment import DEPLOYMENTS
 from pearhead.jig.sim.edges import SimFetch
 from pearhead.jig.sim.fleet import SimFleet
 from pearhead.jig.sim.ledger import RECOVERY_MICROS, Ledger
+from pearhead.jig.sim.recording import record_run
 from pearhead.jig.sim.world import World, pause, run_virtual
 
 JOBS_A_SECOND = 25.0
@@ -69,12 +73,12 @@
     leader = fleet.leader()
     others = [n for n in sorted(fleet.cores) if n != leader]
     fleet.world.note(f"cuts {leader} off from {others}")
-    fleet.world.cut([leader], others)
+    fleet.cut([leader], others)
     await fleet.apply(fleet.marked_description("a"))
     await pause(fleet.world, 5 * SECOND)
     await fleet.name_weights("w2")
     await pause(fleet.world, 3 * SECOND)
-    fleet.world.heal()
+    fleet.heal()
     await settle(fleet)
 
 
@@ -82,14 +86,14 @@
 async def node_isolated(fleet: SimFleet) -> None:
     everyone = sorted(fleet.world.machines)
     fleet.world.note("isolates node-3")
-    fleet.world.cut(["node-3"], everyone)
+    fleet.cut(["node-3"], everyone)
     description = fleet.marked_description("a")
     withdrawn = fleet.deployment.tenantNames[-1]
     description["tenants"] = [t for t in description["tenants"] if t["name"] != withdrawn]
     await fleet.apply(description)
     fleet.ledger.withdrawals.append((withdrawn, fleet.world.now()))
     await pause(fleet.world, 6 * SECOND)
-    fleet.world.heal()
+    fleet.heal()
     await settle(fleet)
 
 
@@ -97,9 +101,9 @@
 async def node_sees_no_workers(fleet: SimFleet) -> None:
     """A one-way loss: answers of workers don't reach one node."""
     workers = [n for n in sorted(fleet.world.machines) if n.startswith("worker-")]
-    fleet.world.cut(workers, ["node-4"], bothWays=False)
+    fleet.cut(workers, ["node-4"], bothWays=False)
     await pause(fleet.world, 5 * SECOND)
-    fleet.world.heal()
+    fleet.heal()
     await settle(fleet)
 
 
@@ -432,6 +436,35 @@
     await settle(fleet)
 
 
+@scenario
+async def two_disks_lost(fleet: SimFleet) -> None:
+    """Two core disks are gone at once: nodes refuse until an operator rescues the third."""
+    await fleet.apply(fleet.marked_description("a"))
+    left, *lost = [fleet.leader(), *(n for n in sorted(fleet.cores) if n != fleet.leader())]
+    for name in lost:
+        fleet.kill(name, losesPower=True)
+        fleet.world.machine(name).disk.empty()
+        fleet.cores.pop(name)
+    await pause(fleet.world, 3 * SECOND)
+    fleet.kill(left)
+    identity = fleet.cores[left].identity
+    machine = fleet.world.machine(left)
+    machine.boot()
+    rescue = Rescue(machine.disk)
+    for wrongWords in ((identity, "yes"), ("another", CONSENT)):
+        if not isinstance(await rescue.run(wrongWords[0], f"{left}:1", wrongWords[1]), Err):
+            fleet.ledger.breaches.append("a rescue ran by accident")
+    (await rescue.run(identity, f"{left}:1", CONSENT)).unwrap()
+    fleet.start(left)
+    fleet.add_core("core-4")
+    fleet.add_core("core-5")
+    await fleet.until(
+        lambda: fleet.leader() != "" and len(fleet.cores[fleet.leader()].raft.voters()) == 3, "three vote again"
+    )
+    await fleet.apply(fleet.marked_description("b"))
+    await settle(fleet)
+
+
 @scenario
 async def mixed_faults(fleet: SimFleet) -> None:
     """Random faults of every kind, one after another, each ended before the next."""
@@ -450,9 +483,9 @@
             await pause(fleet.world, chance.randrange(500 * MILLI, 6 * SECOND))
             fleet.wake(name)
         elif pick == "cut":
-            fleet.world.cut([name], sorted(fleet.world.machines), bothWays=chance.random() < 0.6)
+            fleet.cut([name], sorted(fleet.world.machines), bothWays=chance.random() < 0.6)
             await pause(fleet.world, chance.randrange(500 * MILLI, 5 * SECOND))
-            fleet.world.heal()
+            fleet.heal()
         elif pick == "apply":
             await fleet.apply(fleet.marked_description(str(number)))
         elif pick == "weights":
@@ -467,16 +500,19 @@
 
 def run_scenario(
     name: str, deploymentName: str, seed: int, prepare: Callable[[SimFleet], None] = lambda fleet: None,
-    nodeCount: int = 0,
+    nodeCount: int = 0, recordPath: str = "",
 ) -> tuple[Ledger, World]:
     async def play(world: World) -> tuple[Ledger, World]:
         fleet = SimFleet(world, DEPLOYMENTS[deploymentName], nodeCount)
         prepare(fleet)
         await fleet.up()
+        startMicros = world.now()
         fleet.start_load(JOBS_A_SECOND)
         await pause(world, 2 * SECOND)
         await SCENARIOS[name](fleet)
         await fleet.end_load()
+        if recordPath:
+            record_run(fleet, startMicros).write(recordPath)
         for machine in world.machines.values():
             fleet.ledger.breaches.extend(f"{machine.name}: a task ended by {f!r}" for f in machine.crew.faults)
         return fleet.ledger, world
--- a/src/pearhead/lathe/front.py
+++ b/src/pearhead/lathe/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hmac
 import json
 from typing import Any
 
@@ -117,6 +118,23 @@
         self.finish(self.node.soundness())
 
 
+class InspectHandler(RequestHandler):
+    """What `loupe` asks; for operators only where an operator key is set."""
+
+    def initialize(self, node: NodeProcess, startup: Startup) -> None:
+        self.node = node
+        self.startup = startup
+
+    def get(self) -> None:
+        givenKey = self.request.headers.get("Authorization", "").removeprefix("Bearer ")
+        wantedKey = self.startup.operatorKey
+        if wantedKey and not hmac.compare_digest(wantedKey.encode(), givenKey.encode()):
+            self.set_status(401)
+            self.finish({})
+            return
+        self.finish(self.node.inspect())
+
+
 class NoSuchPathHandler(RequestHandler):
     def prepare(self) -> None:
         self.set_status(404)
@@ -127,6 +145,7 @@
     return Application(
         [
             ("/v1/jobs", JobHandler, {"node": node, "startup": startup}),
+            ("/inspect", InspectHandler, {"node": node, "startup": startup}),
             ("/soundness", SoundnessHandler, {"node": node}),
         ],
         default_handler_class=NoSuchPathHandler,
--- a/src/pearhead/lathe/main.py
+++ b/src/pearhead/lathe/main.py
@@ -7,13 +7,12 @@
 import sys
 from typing import Any
 
-import fire
 from result import Err
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from pearhead import PEARHEAD_RELEASE
 from pearhead.awl.clock import BootClock
+from pearhead.awl.command import run_command
 from pearhead.awl.daemon import open_logs, serve_until_stopped
 from pearhead.awl.socketnet import SocketNet, split_address
 from pearhead.awl.startup import Startup, end_with, read_startup
@@ -77,10 +76,7 @@
 
 
 def main() -> None:
-    if sys.argv[1:] == ["--version"]:
-        print(f"lathe {PEARHEAD_RELEASE}")
-        return
-    fire.Fire(LatheCommand, name="lathe")
+    run_command(LatheCommand, "lathe")
 
 
 if __name__ == "__main__":
--- a/src/pearhead/lathe/node.py
+++ b/src/pearhead/lathe/node.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import random
+from collections import deque
 from collections.abc import Callable
 from contextlib import aclosing
 from typing import Any
@@ -31,6 +32,7 @@
 
 LOGGER = picologging.getLogger("pearhead")
 TRY_LIMIT = 3
+PLACEMENTS_KEPT = 200
 OPEN_MICROS = 10 * SECOND
 
 
@@ -71,6 +73,7 @@
         self.isOpen = False
         self.watch: Callable[[Job], None] = lambda job: None
         self.openJobs = 0
+        self.placements: deque[dict[str, Any]] = deque(maxlen=PLACEMENTS_KEPT)
         self.outcomeCounts: dict[str, int] = {}
         self.reusedTokens = 0
         self.prefixTokens = 0
@@ -223,6 +226,10 @@
                 "remote": placement.fetchFrom.address, "parts": placement.fetchParts,
                 "limit_micros": placement.fetchLimitMicros,
             }
+        self.placements.append({
+            "job": job.jobId, "tenant": job.tenant.name, "kind": job.request.kind, "worker": worker.name,
+            "weights": placement.weightsName, "why": placement.why, "try": tryNumber + 1,
+        })
         lineCount = 0
         self.nominator.begin(worker.name)
         try:
@@ -271,6 +278,31 @@
                 int(usage["fetch_micros"]),
             )
 
+    def inspect(self) -> dict[str, Any]:
+        nowMicros = self.clock.now()
+        view = self.keeper.view
+        return {
+            **self.soundness(), "kind": "node", "knownMicros": nowMicros - self.keeper.currentAt,
+            "placements": list(self.placements),
+            "unsound": sorted(w for w, end in self.nominator.unsoundUntil.items() if end > nowMicros),
+            "volumes": [
+                {"owner": owner, "line": line, "epoch": state.epoch, "index": state.index,
+                 "leftMillis": max(0, state.expiryMicros - nowMicros) // 1_000, "changing": len(state.changing),
+                 "bumped": len(state.tableRevisions) + len(state.heard)}
+                for (owner, line), state in sorted(self.listener.volumes.items())
+            ],
+            "copies": [
+                {"worker": worker, "life": held.life, "sequence": held.sequence, "keys": len(held.keys),
+                 "tied": worker in view.loads and view.loads[worker].life == held.life}
+                for worker, held in sorted(self.index.copies.items())
+            ],
+            "directory": [
+                {"identity": r.identity, "address": r.address, "role": r.role, "area": r.area,
+                 "httpAddress": r.httpAddress}
+                for r in self.directory.members()
+            ],
+        }
+
     def soundness(self) -> dict[str, Any]:
         view = self.keeper.view
         return {
--- a/src/pearhead/vise/raft.py
+++ b/src/pearhead/vise/raft.py
@@ -117,6 +117,7 @@
         self.incomingChunks = bytearray()
         self.digestBusy = False
         self.takingOver = False
+        self.membersWatcher: Callable[[int, Members], None] = lambda index, members: None
         self.leadershipWatchers: list[Callable[[bool], None]] = []
 
     # ---- start -------------------------------------------------------------------------------
@@ -643,6 +644,8 @@
             if proposal is not None and not proposal.done():
                 isOwn = proposedEpoch == entry.epoch
                 proposal.set_result(Ok((entry.index, outcome)) if isOwn else Err("outcome unknown"))
+            if entry.kind == KIND_MEMBERS and self.is_leader():
+                self.membersWatcher(entry.index, Members.FromString(entry.payload))
             if entry.kind == KIND_MEMBERS and self.is_leader() and self.identity not in self.voters():
                 self._become_follower(self.epoch, "")
         if self.appliedIndex - self.digestIndex >= self.digestEvery and not self.digestBusy:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,11 +11,14 @@
 import sys
 import tempfile
 import unittest
+from collections import Counter
 from typing import Any
 
+from pearhead.anvil.folder import FolderReader
 from pearhead.jig.caller import Caller, CallerReport
 from pearhead.jig.deployment import ACADEMY, build_description
 from pearhead.jig.launcher import Launcher
+from pearhead.loupe.main import FleetReader
 
 
 class SmallFleetTest(unittest.TestCase):
@@ -98,6 +101,27 @@
         self.assertFalse(set(ranIds) & report.refused, "a refused job ran")
         self.assertEqual([run for run in runs if run["foreign"]], [])
 
+    def test_tools_tell_what_is_there_and_what_is_not(self) -> None:
+        """Named to run after the kills: the fleet is whole again."""
+        coreAddresses = self.launcher.addresses_of("anvil")
+        answers, silent = FleetReader([*coreAddresses, "127.0.0.1:1"], "").read("/inspect")
+        self.assertEqual(list(silent), ["127.0.0.1:1"])
+        kinds = Counter(answer["kind"] for answer in answers.values())
+        self.assertEqual(kinds, {"core": 3, "node": 3}, "nodes are found by the cores' directories")
+        self.launcher.stop("core-3")
+        dataPath = self.launcher.folderPath / "core-3.data"
+        report = asyncio.run(FolderReader(dataPath).read())
+        self.assertEqual(report.faults, [])
+        self.assertEqual(len(report.facts["members"]), 3)
+        copyPath = self.launcher.folderPath / "copy.data"
+        shutil.copytree(dataPath, copyPath)
+        logPath = sorted(copyPath.glob("log-*"))[0]
+        damaged = bytearray(logPath.read_bytes())
+        damaged[60] ^= 1
+        logPath.write_bytes(damaged)
+        self.assertIn("is damaged", asyncio.run(FolderReader(copyPath).read()).faults[0])
+        self.launcher.start("core-3")
+
     def test_wrong_startup_is_one_clear_line(self) -> None:
         startup = json.loads((self.launcher.folderPath / "core-1.json").read_text())
         for changed, wanted in (
--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -221,6 +221,9 @@
         self.payloads: list[bytes] = []
         self.outcomes: list[Any] = []
 
+    def is_leader(self) -> bool:
+        return True
+
     async def propose(self, payload: bytes) -> Result[tuple[int, Any], str]:
         self.payloads.append(payload)
         index = len(self.payloads)
