Nomination by the wait for prefill over all nodes; jobs that can't begin in time are refused

Cause: each node knew only its own jobs, so nine nodes each put one on the same hot worker; and what waited at a worker counted as a job, however long its prefill. Stand-ins now prefill one job at a time, which shows it. Also found: a count that fell to zero twice raised KeyError, which was told as an unreadable line. Conclusion: cost is the tokens that lie before the job plus its own, among workers below 1.25 times the mean load; what would not begin in time is refused.

--- a/src/pearhead/jig/sim/measure.py
+++ b/src/pearhead/jig/sim/measure.py
@@ -76,6 +76,30 @@
     return await _saved(fleet, False)
 
 
+async def measure_spread(fleet: SimFleet) -> Figures:
+    """Six times the usual load, after 8 s to warm up: how evenly workers are used, and how long jobs take."""
+    fleet.start_load(6 * JOBS_A_SECOND)
+    await pause(fleet.world, 8 * SECOND)
+    warmMicros = fleet.world.now()
+    await pause(fleet.world, LONG_SECONDS * SECOND)
+    await fleet.end_load()
+    counts = {f"worker-{n + 1}": 0 for n in range(fleet.workerCount)}
+    for worker, record in fleet.ledger.runs:
+        if worker in counts and record.atMicros > warmMicros:
+            counts[worker] += 1
+    figures: Figures = {"busiest worker against the mean": max(counts.values()) / statistics.mean(counts.values())}
+    warmJobs = [t for t in fleet.ledger.jobs.values() if t.sentMicros > warmMicros]
+    for kind in (fleet.deployment.shortKind, fleet.deployment.longKind):
+        times = [t.endMicros - t.sentMicros for t in warmJobs if t.outcome == "done" and t.job["kind"] == kind]
+        figures[f"{kind}, median ms"] = statistics.median(times) / MILLI
+        figures[f"{kind}, 99th of 100 ms"] = statistics.quantiles(times, n=100)[98] / MILLI
+    figures["jobs not done, share"] = sum(t.outcome != "done" for t in warmJobs) / len(warmJobs)
+    reusedTokens = sum(n.reusedTokens for n in fleet.nodes.values())
+    prefixTokens = sum(n.prefixTokens for n in fleet.nodes.values())
+    figures["prefill tokens saved, share"] = reusedTokens / max(1, prefixTokens)
+    return figures
+
+
 async def measure_force(fleet: SimFleet) -> Figures:
     """From an acknowledgement to every node serving by it."""
     times = []
@@ -162,6 +186,7 @@
 MEASURES: dict[str, Measure] = {
     "purge": measure_purge, "index": measure_index, "no-index": measure_no_index, "force": measure_force,
     "weights": measure_weights, "leader": measure_leader, "retries": measure_retries, "quiet": measure_quiet,
+    "spread": measure_spread,
 }
 
 
--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -217,8 +217,8 @@
 
 @scenario
 async def workers_come_and_go(fleet: SimFleet) -> None:
-    await fleet.set_workers(leaving=("worker-1",))
-    await pause(fleet.world, 4 * SECOND)
+    await fleet.set_workers(leaving=("worker-1", "worker-2", "worker-4"))
+    await pause(fleet.world, 7 * SECOND)
     fleet.kill("worker-1")
     fleet.kill("worker-3")
     await pause(fleet.world, 3 * SECOND)
--- a/src/pearhead/jig/workermodel.py
+++ b/src/pearhead/jig/workermodel.py
@@ -19,6 +19,7 @@
 LINE_COUNT = 6
 LOAD_MICROS = 1_500 * MILLI
 EVENT_LIMIT = 5_000
+BATCH_SIZE = 4
 CACHE_KEYS = 4_000
 
 
@@ -110,6 +111,7 @@
         self.commands: list[tuple[int, str, bool]] = []
         self.cache: OrderedDict[str, Kept] = OrderedDict()
         self.runningCount = 0
+        self.prefillFreeAt = 0
         self.runs: list[RunRecord] = []
         self.linkSlowness = 1
         self.cutAfterLines: int | None = None
@@ -147,13 +149,21 @@
                 record.sharedWith.append(kept.tenant)
         self.watch(record)
         missedTokens = sum(int(p["tokens"]) for p in prefix[reusedCount:])
-        await rest(self.clock, missedTokens * PREFILL_MICROS_A_TOKEN)
+        # One prefill at a time: a worker that all jobs are sent to makes them wait.
+        ownMicros = missedTokens * PREFILL_MICROS_A_TOKEN
+        self.prefillFreeAt = endMicros = max(self.clock.now(), self.prefillFreeAt) + ownMicros
+        try:
+            await rest(self.clock, endMicros - self.clock.now())
+        except BaseException:
+            # A job that is closed while it waits leaves its turn to those behind.
+            self.prefillFreeAt -= min(ownMicros, max(0, endMicros - self.clock.now()))
+            raise
         for part in prefix[reusedCount:]:
             if part["key"]:
                 await self._keep(part["key"], Kept(self.loadedModel, salt, record.tenant, int(part["tokens"])))
         lineCount = expected_lines(request["prompt"])
         for lineNumber in range(lineCount):
-            await rest(self.clock, LINE_MICROS)
+            await rest(self.clock, LINE_MICROS * max(1, self.runningCount // BATCH_SIZE))
             if self.cutAfterLines is not None and lineNumber >= self.cutAfterLines:
                 return
             yield {
@@ -231,8 +241,12 @@
     def events(self, life: str, after: int) -> dict[str, Any]:
         if self.log.isSilent:
             return {"life": life or self.log.life, "sequence": after, "whole": False, "kept": [],
-                    "dropped": [], "changed": []}
-        return self.log.read(life, after, list(self.cache))
+                    "dropped": [], "changed": [], "running": 0, "waiting_tokens": 0}
+        waitingTokens = max(0, self.prefillFreeAt - self.clock.now()) // PREFILL_MICROS_A_TOKEN
+        return {
+            **self.log.read(life, after, list(self.cache)), "running": self.runningCount,
+            "waiting_tokens": waitingTokens,
+        }
 
 
 class StoreModel:
--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -5,7 +5,8 @@
 import hashlib
 import json
 import random
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 import picologging
@@ -56,8 +57,8 @@
 class _Report:
     life: str = ""
     sequence: int = 0
+    load: tuple[int, int] = (0, 0)
     isBusy: bool = False
-    kept: set[str] = field(default_factory=set)
 
 
 class HolderController:
@@ -82,6 +83,7 @@
         self.reports: dict[str, _Report] = {}
         self.bumpedFor: dict[str, int] = {}
         self.goodCore = ""
+        self.loadWatcher: Callable[[str, int, int], None] = lambda worker, running, waitingTokens: None
         self.servingSince: dict[str, int] = {}
         self.isDraining = False
         listener.copyWatcher = self._take_copies
@@ -229,7 +231,9 @@
             isNews = body["life"] != report.life or body["sequence"] != report.sequence
             fromSequence = 0 if body["whole"] else report.sequence
             report.life, report.sequence = body["life"], body["sequence"]
-            if isNews:
+            load = (int(body.get("running", 0)), int(body.get("waiting_tokens", 0)))
+            if isNews or load != report.load:
+                report.load = load
                 self._spread(worker, body, fromSequence)
             for key in body["changed"]:
                 known = self.index.partByKey.get(key)
@@ -244,7 +248,8 @@
         kept, dropped = list(body["kept"]), list(body["dropped"])
         note = CopyNote(
             worker=worker.name, life=body["life"], sequence=body["sequence"], fromSequence=fromSequence,
-            whole=body["whole"], kept=kept, dropped=dropped,
+            whole=body["whole"], kept=kept, dropped=dropped, running=int(body.get("running", 0)),
+            waitingTokens=int(body.get("waiting_tokens", 0)),
         )
         self._count_copies(note)
         addresses = [r.address for r in self.directory.members("lathe")]
@@ -259,6 +264,7 @@
         self._count_copies(note.copyNote)
 
     def _count_copies(self, note: CopyNote) -> None:
+        self.loadWatcher(note.worker, note.running, note.waitingTokens)
         self.index.take_report(
             note.worker, note.life, note.fromSequence, note.sequence, note.kept, note.dropped, note.whole
         )
--- a/src/pearhead/lathe/job.py
+++ b/src/pearhead/lathe/job.py
@@ -42,6 +42,7 @@
     salt: str = ""
     keys: list[str] = field(default_factory=list)
     reusedParts: int = 0
+    missedTokens: int = 0
     fetchFrom: WorkerFact | None = None
     fetchParts: int = 0
     fetchLimitMicros: int = 0
--- a/src/pearhead/lathe/node.py
+++ b/src/pearhead/lathe/node.py
@@ -69,6 +69,7 @@
             self.identity, self.keeper, self.listener, self.index, link, self.courier, self.directory,
             clock, chance, self.crew, startup.holdMicros,
         )
+        self.holder.loadWatcher = self.nominator.take_load
         self.isDraining = False
         self.isOpen = False
         self.watch: Callable[[Job], None] = lambda job: None
@@ -231,10 +232,14 @@
             "weights": placement.weightsName, "why": placement.why, "try": tryNumber + 1,
         })
         lineCount = 0
-        self.nominator.begin(worker.name)
+        isPrefilling = True
+        self.nominator.begin(worker.name, placement.missedTokens)
         try:
             async with aclosing(self.carrier.carry(worker.address, upstreamJob)) as events:
                 async for event in events:
+                    if isPrefilling:
+                        isPrefilling = False
+                        self.nominator.end_prefill(worker.name, placement.missedTokens)
                     if event.get("id") != f"cmpl-{upstreamJob.upstreamId}":
                         raise CarryFault(CUT, "a line of another job")
                     if "usage" in event:
@@ -244,7 +249,7 @@
                             "job": job.jobId, "end": True, "lines": lineCount, "usage": event["usage"],
                         })
                         return Ok(None)
-                    await pen.write({"job": job.jobId, "line": lineCount, "text": event["choices"][0]["text"]})
+                    await pen.write({"job": job.jobId, "line": lineCount, "text": self._read_text(event)})
                     lineCount += 1
             raise CarryFault(CUT, "the stream ended without its closing line")
         except CarryFault as fault:
@@ -260,11 +265,17 @@
             return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, fault.detail))
         except PenGone:
             return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, "the caller went away"))
-        except (KeyError, IndexError, TypeError) as fault:
-            return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, f"an unreadable line: {fault!r}"))
         finally:
+            if isPrefilling:
+                self.nominator.end_prefill(worker.name, placement.missedTokens)
             self.nominator.end(worker.name)
 
+    def _read_text(self, event: dict[str, Any]) -> str:
+        try:
+            return str(event["choices"][0]["text"])
+        except (KeyError, IndexError, TypeError) as fault:
+            raise CarryFault(CUT, f"an unreadable line: {fault!r}") from fault
+
     def _has_credit(self, job: Job) -> bool:
         assert job.entry is not None
         return self.budget.tokens.get(job.entry.service, 0.0) >= 1.0
--- a/src/pearhead/lathe/nominate.py
+++ b/src/pearhead/lathe/nominate.py
@@ -36,6 +36,9 @@
         self.clock = clock
         self.oldWeightsMicros = oldWeightsMicros
         self.runningCounts: dict[str, int] = {}
+        self.pendingTokens: dict[str, int] = {}
+        self.othersCounts: dict[str, int] = {}
+        self.othersTokens: dict[str, int] = {}
         self.unsoundUntil: dict[str, int] = {}
         self.fetchRates: dict[tuple[str, str], float] = {}
         self.usesIndex = True
@@ -50,19 +53,43 @@
         if not isModel:
             chosenWorker = min(candidates, key=lambda w: (self.runningCounts.get(w.name, 0), w.name))
             return Ok(Placement(chosenWorker, why="fewest running"))
-        return Ok(self._place_on_model(view, job, candidates))
+        placement = self._place_on_model(view, job, candidates)
+        aheadTokens = self.waiting_of(placement.worker.name) + placement.missedTokens
+        if aheadTokens * PREFILL_MICROS_A_TOKEN > job.left_micros(self.clock.now()):
+            # Refused while it has not run: sent, it would be cut at its deadline (§8.5).
+            return Err(Refusal(ErrorKind.OVERLOADED, "no worker would begin it before its deadline"))
+        return Ok(placement)
 
     def is_model(self, view: View, service: str) -> bool:
         return any(s.name == service and s.role == "model" for s in view.description.services)
 
-    def begin(self, worker: str) -> None:
+    def begin(self, worker: str, missedTokens: int) -> None:
         self.runningCounts[worker] = self.runningCounts.get(worker, 0) + 1
+        self.pendingTokens[worker] = self.pendingTokens.get(worker, 0) + missedTokens
+
+    def end_prefill(self, worker: str, missedTokens: int) -> None:
+        leftTokens = self.pendingTokens.get(worker, 0) - missedTokens
+        if leftTokens:
+            self.pendingTokens[worker] = leftTokens
+        else:
+            self.pendingTokens.pop(worker, None)
 
     def end(self, worker: str) -> None:
         self.runningCounts[worker] -= 1
         if not self.runningCounts[worker]:
             del self.runningCounts[worker]
 
+    def take_load(self, worker: str, running: int, waitingTokens: int) -> None:
+        """What a worker says it runs, less what this node sent there, is the other nodes' (§8.5)."""
+        self.othersCounts[worker] = max(0, running - self.runningCounts.get(worker, 0))
+        self.othersTokens[worker] = max(0, waitingTokens - self.pendingTokens.get(worker, 0))
+
+    def waiting_of(self, worker: str) -> int:
+        return self.pendingTokens.get(worker, 0) + self.othersTokens.get(worker, 0)
+
+    def load_of(self, worker: str) -> int:
+        return self.runningCounts.get(worker, 0) + self.othersCounts.get(worker, 0)
+
     def take_fault(self, worker: str) -> None:
         """A worker that failed a job rests a while; its soundness is judged by jobs, not by pings."""
         self.unsoundUntil[worker] = self.clock.now() + UNSOUND_MICROS
@@ -128,16 +155,19 @@
             for w in candidates
         }
         # Bounded load: a hot prefix does not pile onto one worker (§8.5).
-        totalCount = sum(self.runningCounts.get(w.name, 0) for w in candidates) + 1
+        totalCount = sum(self.load_of(w.name) for w in candidates) + 1
         loadLimit = math.ceil(LOAD_FACTOR * totalCount / len(candidates))
-        free = [w for w in candidates if self.runningCounts.get(w.name, 0) < loadLimit]
+        free = [w for w in candidates if self.load_of(w.name) < loadLimit]
+        tokens = [p.tokens for p in job.request.prefix]
         rankText = presentKeys[0] if presentKeys and self.usesIndex else job.jobId
 
         def rank(worker: WorkerFact) -> tuple[int, int, bytes]:
             nameHash = hashlib.blake2b(f"{rankText}/{worker.name}".encode(), digest_size=8).digest()
             if presentKeys and self.usesIndex:
-                return (-keptCounts[worker.name], 0, nameHash)
-            return (0, self.runningCounts.get(worker.name, 0), nameHash)
+                # The wait for prefill to come through: what lies before this job, and its own.
+                missedTokens = sum(tokens[keptCounts[worker.name] :])
+                return (self.waiting_of(worker.name) + missedTokens, -keptCounts[worker.name], nameHash)
+            return (0, self.load_of(worker.name), nameHash)
 
         chosenWorker = min(free, key=rank)
         chosenLoad = view.loads[chosenWorker.name]
@@ -147,6 +177,7 @@
         salt = cache_salt(owner, line, chosenLoad.weightsRevision) if keys else f"job:{job.jobId}"
         placement = Placement(
             chosenWorker, chosenLoad.weights, salt, keys, keptCounts[chosenWorker.name],
+            sum(tokens[keptCounts[chosenWorker.name] :]),
             why=f"keeps {keptCounts[chosenWorker.name]} of {len(parts)} parts",
         )
         if isPresent and self.usesIndex:
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,45 @@
+"""Rules of the house that a reader would have to look for line by line."""
+
+from __future__ import annotations
+
+import ast
+import unittest
+from pathlib import Path
+
+SOURCE = Path(__file__).resolve().parent.parent / "src" / "pearhead"
+DECIDING = ("awl", "vise", "rasp", "anvil", "lathe")
+WALL_CALLS = {"time.time", "time.time_ns", "time.monotonic", "time.sleep", "datetime.now", "datetime.utcnow",
+              "asyncio.sleep"}
+
+
+def find_calls(sourceText: str) -> list[str]:
+    return [
+        ast.unparse(node.func) for node in ast.walk(ast.parse(sourceText))
+        if isinstance(node, ast.Call) and ast.unparse(node.func) in WALL_CALLS
+    ]
+
+
+def code_of(filePath: Path) -> str:
+    """A file without the tests at its foot."""
+    module = ast.parse(filePath.read_text())
+    module.body = [n for n in module.body if not (isinstance(n, ast.ClassDef) and n.name.endswith("Test"))]
+    return ast.unparse(module)
+
+
+class RulesTest(unittest.TestCase):
+    def test_nothing_that_decides_reads_wall_time(self) -> None:
+        filePaths = [p for name in DECIDING for p in sorted((SOURCE / name).rglob("*.py"))]
+        self.assertGreater(len(filePaths), 40)
+        found = {str(p.relative_to(SOURCE)): find_calls(code_of(p)) for p in filePaths}
+        self.assertEqual({name: calls for name, calls in found.items() if calls}, {})
+        self.assertEqual(find_calls("import time\nx = time.time()"), ["time.time"])
+
+    def test_no_daemon_starts_a_process(self) -> None:
+        names = ("subprocess", "multiprocessing", "os.fork", "os.system", "os.exec")
+        for name in (*DECIDING, "chisel", "loupe"):
+            for filePath in sorted((SOURCE / name).rglob("*.py")):
+                self.assertFalse([n for n in names if n in filePath.read_text()], filePath)
+
+    def test_the_path_below_the_edges_opens_no_socket_of_its_own(self) -> None:
+        for filePath in sorted((SOURCE / "rasp").rglob("*.py")) + sorted((SOURCE / "vise").rglob("*.py")):
+            self.assertNotIn("import socket", filePath.read_text(), filePath)
