Hellos no longer carry the whole directory; a small change sends a small part; scale measured

Cause: each hello and each answer carried every record, which grows with the square; and one changed field sent the whole description to each node. Conclusion: a hash of what is known goes with one hello a second; entries lie in 64 buckets.

--- a/src/pearhead/anvil/fleet.py
+++ b/src/pearhead/anvil/fleet.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from typing import Any
 
-from pearhead.awl.view import EMPTY_BODY, SECTION_NAMES, hash_sections
+from pearhead.awl.view import EMPTY_BODY, ENTRY_SECTIONS, SECTION_NAMES, bucket_of, hash_sections
 from pearhead.awl.wire_pb2 import (
     ApplyDescription,
     BumpPart,
@@ -134,7 +134,7 @@
         for line in self.description.get("lines", []):
             # The file names the weights that a line begins with; later ones are named apart (§7.1).
             self.weights.setdefault(line["name"], {"weights": line["weights"], "revision": index})
-        self._show("description", index, {"revision": index, "description": self.description})
+        self._show_description(index)
         self._show("weights", index, self.weights)
         return {"status": "done", "revision": index}
 
@@ -195,6 +195,16 @@
         self._show("loads", index, self.loads)
         return {"status": "done", "revision": index}
 
+    def _show_description(self, index: int) -> None:
+        head = {name: value for name, value in self.description.items() if name != "entries"}
+        self._show("description", index, {"revision": index, "description": head})
+        buckets: list[list[Any]] = [[] for _ in ENTRY_SECTIONS]
+        for entry in self.description.get("entries", []):
+            buckets[bucket_of(entry["name"])].append(entry)
+        for name, entries in zip(ENTRY_SECTIONS, buckets, strict=True):
+            if entries or self.sections[name][1] != EMPTY_BODY:
+                self._show(name, index, entries)
+
     def _show(self, name: str, index: int, value: Any) -> None:
         body = to_body(value)
         if self.sections[name][1] != body:
--- a/src/pearhead/awl/directory.py
+++ b/src/pearhead/awl/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 import unittest
 
@@ -54,11 +55,17 @@
         return foundAddresses
 
     async def run(self) -> None:
+        roundNumber = 0
         while True:
-            hello = Hello(known=self._aged_records())
-            hello.self.CopyFrom(self.selfRecord)
-            for targetAddress in self._nominate_targets():
+            targetAddresses = self._nominate_targets()
+            knownHash = self._known_hash()
+            for position, targetAddress in enumerate(targetAddresses):
+                # All are told of this process; one in turn is asked what it knows (§3.2).
+                isAsked = position == roundNumber % len(targetAddresses)
+                hello = Hello(knownHash=knownHash if isAsked else "", wantsKnown=isAsked)
+                hello.self.CopyFrom(self.selfRecord)
                 self.courier.tell(targetAddress, "hello", hello)
+            roundNumber += 1
             await rest(self.clock, HELLO_MICROS)
 
     def _nominate_targets(self) -> list[str]:
@@ -80,14 +87,35 @@
 
     def _take_hello(self, identity: str, address: str, hello: Hello) -> None:
         self._take_record(hello.self, 0)
-        self._take_known(list(hello.known))
-        helloResult = HelloResult(known=self._aged_records())
-        selfRecord = helloResult.known.add()
-        selfRecord.CopyFrom(self.selfRecord)
+        if not hello.wantsKnown:
+            return
+        helloResult = HelloResult()
+        if hello.knownHash == self._known_hash():
+            ages = [self.clock.now() - self.records[r.identity][1] for r in self.members()]
+            helloResult.isSame, helloResult.oldestAgeMicros = True, max(ages, default=0)
+        else:
+            helloResult.known.extend(self._aged_records())
+            selfRecord = helloResult.known.add()
+            selfRecord.CopyFrom(self.selfRecord)
         self.courier.tell(address, "helloResult", helloResult)
 
     def _take_hello_result(self, identity: str, address: str, helloResult: HelloResult) -> None:
         self._take_known(list(helloResult.known))
+        if helloResult.isSame:
+            # All that both know were alive no longer ago than the oldest of them.
+            bornMicros = self.clock.now() - helloResult.oldestAgeMicros
+            for record in self.members():
+                _, heldBorn = self.records[record.identity]
+                self.records[record.identity] = (record, max(heldBorn, bornMicros))
+
+    def _known_hash(self) -> str:
+        """Over all live records and this process's own, so that two who know the same agree."""
+        knownHash = hashlib.blake2b(digest_size=8)
+        records = sorted([*self.members(), self.selfRecord], key=lambda r: r.identity)
+        for record in records:
+            knownHash.update(f"{record.identity} {record.address} {record.role} {record.httpAddress}".encode())
+            knownHash.update(record.channels)
+        return knownHash.hexdigest()
 
     def _take_known(self, knownRecords: list[Record]) -> None:
         for record in knownRecords:
@@ -128,6 +156,16 @@
         self.bench.nowMicros += 3 * SECOND
         self.assertEqual(self.directory.members(), [])
 
+    def test_same_knowledge_refreshes_by_the_oldest_age_only(self) -> None:
+        self.hear("b", "b:1", 0)
+        self.bench.nowMicros += 4 * SECOND
+        result = HelloResult(isSame=True, oldestAgeMicros=2 * SECOND)
+        self.directory._take_hello_result("x", "x:1", result)
+        self.bench.nowMicros += 2 * SECOND
+        self.assertEqual([r.identity for r in self.directory.members()], ["b"])
+        self.bench.nowMicros += 2 * SECOND
+        self.assertEqual(self.directory.members(), [])
+
     def test_seeds_are_asked_only_while_no_core_is_known(self) -> None:
         self.assertEqual(self.directory._nominate_targets(), ["seed:1"])
         self.hear("core", "c:1", 0)
--- a/src/pearhead/awl/view.py
+++ b/src/pearhead/awl/view.py
@@ -13,10 +13,17 @@
 from pearhead.awl.description import EVERY_TENANT, CapabilityEntry, Description, Tenant, build_checked
 from pearhead.awl.wire_pb2 import Section, ViewDelta
 
-SECTION_NAMES = ("description", "loads", "weights", "workers")
+BUCKET_COUNT = 64
+ENTRY_SECTIONS = tuple(f"entries-{bucket:02d}" for bucket in range(BUCKET_COUNT))
+SECTION_NAMES = ("description", *ENTRY_SECTIONS, "loads", "weights", "workers")
 EMPTY_BODY = b"{}"
 
 
+def bucket_of(entryName: str) -> int:
+    """Entries lie in buckets by their names, so that a small change sends a small part (§5.2)."""
+    return hashlib.blake2b(entryName.encode(), digest_size=2).digest()[0] % BUCKET_COUNT
+
+
 def hash_sections(sections: Mapping[str, tuple[int, bytes]]) -> str:
     viewHash = hashlib.blake2b(digest_size=16)
     for name, (index, body) in sorted(sections.items()):
@@ -70,7 +77,11 @@
 
     @cached_property
     def description(self) -> Description:
-        return build_checked(self._section("description").get("description", {}))
+        head = self._section("description").get("description", {})
+        entries = [
+            item for name in ENTRY_SECTIONS if self.sections[name][1] != EMPTY_BODY for item in self._section(name)
+        ]
+        return build_checked({**head, "entries": entries})
 
     @cached_property
     def workers(self) -> dict[str, WorkerFact]:
--- a/src/pearhead/jig/main.py
+++ b/src/pearhead/jig/main.py
@@ -18,6 +18,7 @@
 from pearhead.jig.sim.measure import MEASURES, run_measure, spread
 from pearhead.jig.sim.recording import compare, plan, read_recording, replay
 from pearhead.jig.sim.runner import RunOrder, run_apart, run_order, run_orders
+from pearhead.jig.sim.scale import run_entries, run_nodes, table
 from pearhead.jig.sim.scenarios import SCENARIOS
 from pearhead.jig.standin import build_stand_in
 
@@ -132,6 +133,13 @@
                 print("\n".join(spread(rows)))
                 print()
 
+    def scale(self, nodes: str = "12,50,100,200", entries: str = "10,100,1000,10000") -> None:
+        """Prints what a fleet costs by its size, and a description by its entries."""
+        for runRow, sizesText in ((run_nodes, nodes), (run_entries, entries)):
+            sizes = [int(x) for x in (sizesText.split(",") if isinstance(sizesText, str) else sizesText)]
+            print("\n".join(table(run_apart(runRow, sizes))))
+            print()
+
     def description(self, deployment: str) -> None:
         """Prints the description file of an example deployment."""
         print(description_text(deployment_named(deployment)), end="")
--- a/src/pearhead/jig/sim/mutations.py
+++ b/src/pearhead/jig/sim/mutations.py
@@ -130,7 +130,9 @@
     def apply(self: Fleet, index: int, command: Any) -> dict[str, Any]:
         isLoser = command.baseRevision != self.descriptionRevision
         if isLoser:
-            self._show("description", index, {"revision": index, "description": json.loads(command.description)})
+            held, self.description = self.description, json.loads(command.description)
+            self._show_description(index)
+            self.description = held
         return realApply(self, index, command)
 
     Fleet._apply_apply = apply  # type: ignore[method-assign]
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -17,7 +17,7 @@
 from pearhead.awl.bench import Bench
 from pearhead.awl.clock import BootClock
 from pearhead.awl.startup import Startup
-from pearhead.awl.view import View
+from pearhead.awl.view import ENTRY_SECTIONS, View
 from pearhead.jig.deployment import ACADEMY, build_description, tenant_key
 from pearhead.lathe.carry import CUT, CarryFault, UpstreamJob
 from pearhead.lathe.front import HandlerPen, build_front
@@ -66,8 +66,10 @@
     description = build_description(ACADEMY)
     if tenants is not None:
         description["tenants"] = tenants
+    entries = description.pop("entries")
     bodies = {
         "description": {"revision": 5, "description": description},
+        ENTRY_SECTIONS[0]: entries,
         "workers": {"desk": {"address": "x:1", "area": "a", "service": "desk", "leaving": False}},
     }
     sections = dict(View().sections)
@@ -172,7 +174,7 @@
         description = build_description(ACADEMY)
         description["entries"][2]["repeatable"] = False
         sections = dict(make_view().sections)
-        sections["description"] = (5, json.dumps({"revision": 5, "description": description}).encode())
+        sections[ENTRY_SECTIONS[0]] = (5, json.dumps(description["entries"]).encode())
         self.node.keeper.view = View(5, sections)
         self.carrier.cutAfter = 0
         self.send(self.notice())
