Holders tell all nodes of silent or unloaded workers; nomination under unit tests

Cause: each node found out by a job of its own, every 2 s again, that a worker is down, or up again and not loaded. Ruled out: a longer rest (a worker that is back stays unused), a larger budget (the rule). Conclusion: what a holder learns by its polls is told on; it decides only while other workers are left.

--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -32,6 +32,7 @@
 MARGIN_MICROS = 300 * MILLI
 BUMP_LIMIT = 512
 KEYS_A_NOTE = 25
+SILENT_POLLS = 2
 PARTS_AT_ONCE = 16
 
 
@@ -58,6 +59,7 @@
     life: str = ""
     sequence: int = 0
     load: tuple[int, int] = (0, 0)
+    failureCount: int = 0
     isBusy: bool = False
 
 
@@ -84,6 +86,7 @@
         self.bumpedFor: dict[str, int] = {}
         self.goodCore = ""
         self.loadWatcher: Callable[[str, int, int], None] = lambda worker, running, waitingTokens: None
+        self.soundnessWatcher: Callable[[str], None] = lambda worker: None
         self.servingSince: dict[str, int] = {}
         self.isDraining = False
         listener.copyWatcher = self._take_copies
@@ -176,6 +179,9 @@
             return
         load = view.loads.get(worker.name)
         isLoaded = load is not None and load.line == line and load.life == report.life
+        if load is not None and not isLoaded:
+            # Started again: it would refuse each job until it is loaded (§7.5).
+            self._tell_unsound(worker.name)
         if load is not None and isLoaded and load.weightsRevision == present.revision:
             return
         if isLoaded and not self._may_begin(view, worker, line, present.revision):
@@ -225,8 +231,12 @@
         try:
             answer = await self.link.events(worker.address, report.life, report.sequence)
             if isinstance(answer, Err):
+                report.failureCount += 1
+                if report.failureCount >= SILENT_POLLS:
+                    self._tell_unsound(worker.name)
                 await rest(self.clock, POLL_MICROS)
                 return
+            report.failureCount = 0
             body = answer.ok_value
             isNews = body["life"] != report.life or body["sequence"] != report.sequence
             fromSequence = 0 if body["whole"] else report.sequence
@@ -260,8 +270,17 @@
             for address in addresses:
                 self.courier.tell(address, "purgeNote", PurgeNote(copyNote=note))
 
+    def _tell_unsound(self, worker: str) -> None:
+        """What the holder learns by its polls spares each node a job of its own (§7.5)."""
+        self.soundnessWatcher(worker)
+        addresses = [r.address for r in self.directory.members("lathe")]
+        self.courier.cast(addresses, "purgeNote", PurgeNote(copyNote=CopyNote(worker=worker, unsound=True)))
+
     def _take_copies(self, note: PurgeNote) -> None:
-        self._count_copies(note.copyNote)
+        if note.copyNote.unsound:
+            self.soundnessWatcher(note.copyNote.worker)
+        else:
+            self._count_copies(note.copyNote)
 
     def _count_copies(self, note: CopyNote) -> None:
         self.loadWatcher(note.worker, note.running, note.waitingTokens)
--- a/src/pearhead/lathe/node.py
+++ b/src/pearhead/lathe/node.py
@@ -70,6 +70,7 @@
             clock, chance, self.crew, startup.holdMicros,
         )
         self.holder.loadWatcher = self.nominator.take_load
+        self.holder.soundnessWatcher = self.nominator.take_unsound
         self.isDraining = False
         self.isOpen = False
         self.watch: Callable[[Job], None] = lambda job: None
--- a/src/pearhead/lathe/nominate.py
+++ b/src/pearhead/lathe/nominate.py
@@ -4,15 +4,22 @@
 
 import hashlib
 import math
+import random
+import unittest
 
 from result import Err, Ok, Result
 
+from pearhead.awl.bench import Bench
 from pearhead.awl.clock import MILLI, SECOND, Clock
-from pearhead.awl.description import owner_of
-from pearhead.awl.view import View, WorkerFact
+from pearhead.awl.courier import Courier
+from pearhead.awl.crew import Crew
+from pearhead.awl.description import CapabilityEntry, Description, Limits, Line, Service, Tenant, owner_of
+from pearhead.awl.directory import Directory
+from pearhead.awl.view import LoadFact, View, WeightsFact, WorkerFact
+from pearhead.awl.wire_pb2 import Record
 from pearhead.lathe.errors import ErrorKind, Refusal
 from pearhead.lathe.index import CopyIndex
-from pearhead.lathe.job import Job, Placement
+from pearhead.lathe.job import Job, JobRequest, Placement, PrefixPart
 from pearhead.lathe.term import TermKeeper
 from pearhead.lathe.wave import first_wave
 from pearhead.rasp.key import cache_salt, chain_keys
@@ -23,6 +30,7 @@
 FETCH_MICROS_A_TOKEN = 20.0
 FETCH_FIXED_MICROS = 5 * MILLI
 UNSOUND_MICROS = 2 * SECOND
+TOLD_UNSOUND_MICROS = 1_500 * MILLI
 SMOOTHING = 0.3
 
 
@@ -39,6 +47,7 @@
         self.pendingTokens: dict[str, int] = {}
         self.othersCounts: dict[str, int] = {}
         self.othersTokens: dict[str, int] = {}
+        self.toldUnsoundUntil: dict[str, int] = {}
         self.unsoundUntil: dict[str, int] = {}
         self.fetchRates: dict[tuple[str, str], float] = {}
         self.usesIndex = True
@@ -94,6 +103,9 @@
         """A worker that failed a job rests a while; its soundness is judged by jobs, not by pings."""
         self.unsoundUntil[worker] = self.clock.now() + UNSOUND_MICROS
 
+    def take_unsound(self, worker: str) -> None:
+        self.toldUnsoundUntil[worker] = self.clock.now() + TOLD_UNSOUND_MICROS
+
     def take_success(self, worker: str) -> None:
         self.unsoundUntil.pop(worker, None)
 
@@ -112,7 +124,8 @@
             and (not isModel or self.weights_allowed(view, job.entry.line, w.name))
         ]
         soundOnes = [w for w in found if self.unsoundUntil.get(w.name, 0) <= nowMicros]
-        return soundOnes
+        # What a holder told may be its own trouble: it decides only while others are left (§7.5).
+        return [w for w in soundOnes if self.toldUnsoundUntil.get(w.name, 0) <= nowMicros] or soundOnes
 
     def weights_allowed(self, view: View, line: str, worker: str) -> bool:
         """Present weights always; older ones only for a while after a roll-out is seen (§7.4)."""
@@ -209,3 +222,124 @@
             placement.fetchFrom, placement.fetchParts = bestSource, bestCount
             placement.fetchLimitMicros = int(prefillMicros)
             placement.why += f", fetches to {bestCount} from {bestSource.name}"
+
+
+class NominatorTest(unittest.TestCase):
+    """Three workers on weights of revision 5; parts 1 and 2 of a kept tenant; a store."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        courier = Courier("me", "a:1", self.bench, self.bench)
+        directory = Directory(Record(identity="me"), ["s:1"], courier, self.bench, random.Random(1))
+        crew = Crew("t")
+        keeper = TermKeeper(courier, directory, self.bench, random.Random(1), crew, SECOND)
+        self.listener = Listener(courier, directory, self.bench, random.Random(1), crew, 30 * SECOND)
+        self.index = CopyIndex()
+        self.nominator = Nominator(keeper, self.listener, self.index, self.bench, 8 * SECOND)
+        names = ("w1", "w2", "w3")
+        self.view = View()
+        self.entry = CapabilityEntry("e", "l", ["*"], ["k"], "models")
+        services = [Service("models", "model"), Service("kept", "store")]
+        self.view.__dict__.update(
+            description=Description([Line("l", "x")], services, [self.entry], [], Limits()),
+            workers={n: WorkerFact(n, n, "z", "models", False) for n in names}
+            | {"store": WorkerFact("store", "store", "z", "kept", False)},
+            loads={n: LoadFact("l", f"life-{n}", 1, 5, 10, "x") for n in names},
+            weights={"l": WeightsFact("x", 5)},
+        )
+        keeper.view = self.view
+        self.know(True)
+
+    def know(self, isKnown: bool) -> None:
+        self.listener.revision_of("tenant:t", "l", 1)
+        self.listener.volumes["tenant:t", "l"].expiryMicros = 2**60 if isKnown else 0
+
+    def job(self, tenant: Tenant | None = None) -> Job:
+        request = JobRequest("l", "k", "b", [PrefixPart(1, 500), PrefixPart(2, 1_000)])
+        return Job(request, "j", 0, self.view, 2**60, tenant or Tenant("t", []), self.entry)
+
+    def keep(self, worker: str, length: int = 2, weightsRevision: int = 5, life: str = "") -> None:
+        keys = chain_keys("tenant:t", "l", weightsRevision, [(1, 1), (2, 1)])[:length]
+        self.index.take_report(worker, life or f"life-{worker}", 10, 12, keys, [], False)
+        self.index.tie(self.view.loads.get(worker), life or f"life-{worker}", 10, keys)
+
+    def place(self, job: Job | None = None) -> Placement:
+        return self.nominator.nominate(job or self.job()).unwrap()
+
+    def test_the_keeper_is_chosen_until_its_wait_outgrows_the_prefill(self) -> None:
+        self.keep("w2")
+        self.assertEqual((self.place().worker.name, self.place().reusedParts), ("w2", 2))
+        self.nominator.take_load("w2", 0, 1_400)
+        self.assertEqual(self.place().worker.name, "w2")
+        self.nominator.take_load("w2", 0, 1_600)
+        self.assertNotEqual(self.place().worker.name, "w2")
+        self.nominator.take_load("w2", 5, 0)
+        self.assertNotEqual(self.place().worker.name, "w2", "over the bound of the load")
+
+    def test_nothing_is_reused_or_fetched_that_is_not_current_tied_and_its_own(self) -> None:
+        self.keep("w2")
+        self.know(False)
+        placement = self.place()
+        self.assertEqual((placement.keys, placement.salt, placement.fetchFrom), ([], "job:j", None))
+        self.know(True)
+        self.listener.volumes["tenant:t", "l"].changing[2] = (b"t", self.bench.now())
+        self.assertEqual(len(self.place().keys), 1, "the chain ends before a part that changes")
+        self.listener.volumes["tenant:t", "l"].changing.clear()
+        other = Tenant("other", [])
+        self.listener.revision_of("tenant:other", "l", 1)
+        self.listener.volumes["tenant:other", "l"].expiryMicros = 2**60
+        placement = self.place(self.job(other))
+        self.assertEqual((placement.reusedParts, placement.fetchFrom), (0, None), "another tenant's")
+        self.index.copies.clear()
+        self.keep("w2", weightsRevision=4)
+        self.assertEqual((self.place().reusedParts, self.place().fetchFrom), (0, None), "other weights")
+        self.keep("w2", life="another")
+        self.assertEqual((self.place().reusedParts, self.place().fetchFrom), (0, None), "another life")
+
+    def test_a_fetch_is_planned_only_where_it_is_quicker(self) -> None:
+        self.keep("w2")
+        self.nominator.take_load("w2", 5, 0)
+        placement = self.place()
+        assert placement.fetchFrom is not None
+        self.assertEqual((placement.fetchFrom.name, placement.fetchParts), ("w2", 2))
+        self.assertEqual(placement.fetchLimitMicros, 150_000)
+        for _ in range(20):
+            self.nominator.take_fetch("w2", placement.worker.name, 1_000, 200_000)
+        self.assertIsNone(self.place().fetchFrom, "a link that slowed down")
+
+    def test_a_stores_list_counts_only_for_keys_that_a_tied_worker_made(self) -> None:
+        keys = chain_keys("tenant:t", "l", 5, [(1, 1), (2, 1)])
+        self.index.take_report("store", "s", 0, 9, keys, [], True)
+        self.assertIsNone(self.place().fetchFrom)
+        self.index.tie(self.view.loads["w1"], "life-w1", 9, keys)
+        self.assertIsNone(self.place().fetchFrom, "told of before the load")
+        self.index.tie(self.view.loads["w1"], "life-w1", 10, keys)
+        fetchFrom = self.place().fetchFrom
+        assert fetchFrom is not None
+        self.assertEqual(fetchFrom.name, "store")
+
+    def test_told_unsoundness_decides_only_while_others_are_left(self) -> None:
+        self.keep("w2")
+        self.nominator.take_unsound("w2")
+        self.assertNotEqual(self.place().worker.name, "w2")
+        self.nominator.take_unsound("w1")
+        self.nominator.take_unsound("w3")
+        self.assertEqual(self.place().worker.name, "w2", "a holder that is cut off tells all unsound")
+        self.bench.nowMicros += TOLD_UNSOUND_MICROS
+        self.assertEqual(self.place().worker.name, "w2")
+
+    def test_a_job_that_can_not_begin_in_time_is_refused_at_once(self) -> None:
+        for worker in ("w1", "w2", "w3"):
+            self.nominator.take_load(worker, 0, 50_000)
+        job = self.job()
+        job.deadlineMicros = self.bench.now() + 4 * SECOND
+        self.assertEqual(self.nominator.nominate(job).unwrap_err().kind, ErrorKind.OVERLOADED)
+
+    def test_old_weights_serve_only_a_while_and_only_where_the_roll_out_was_seen(self) -> None:
+        self.view.__dict__["weights"] = {"l": WeightsFact("y", 6)}
+        self.assertEqual(self.nominator.nominate(self.job()).unwrap_err().kind, ErrorKind.NO_WORKER)
+        self.nominator.keeper.firstSeen["l", 6] = self.bench.now()
+        self.assertEqual(self.place().worker.name, "w3", "the first wave is left alone")
+        self.assertEqual(self.place().weightsName, "x")
+        self.bench.nowMicros += 8 * SECOND
+        self.assertEqual(self.nominator.nominate(self.job()).unwrap_err().kind, ErrorKind.NO_WORKER)
