--- a/src/pearhead/awl/checked.py
+++ b/src/pearhead/awl/checked.py
@@ -1,4 +1,4 @@
-"""read_checked (§3.3): operator data into dataclasses by dacite, with every fault and its path."""
+"""read_checked (§3.3): data into dataclasses, checked by dacite, with every fault and its path."""
 
 from __future__ import annotations
 
@@ -20,11 +20,50 @@
     _find_faults(shape, data, "", faults)
     if faults:
         return Err(faults)
-    assert isinstance(data, dict)
-    try:
-        return Ok(dacite.from_dict(shape, data, STRICT))
-    except (dacite.DaciteError, ValueError) as fault:
-        return Err([str(fault)])
+    return Ok(_build(shape, data))
+
+
+@dataclasses.dataclass(frozen=True)
+class _FieldPlan:
+    """What reading needs to know of a field, found once a shape: it is on the way of every job."""
+
+    name: str
+    hint: Any
+    hasDefault: bool
+    innerShape: Any
+    itemShape: Any
+
+
+@functools.lru_cache(maxsize=256)
+def _plan_of(shape: Any) -> tuple[dict[str, _FieldPlan], frozenset[str]]:
+    hints = typing.get_type_hints(shape)
+    plans = {}
+    for field in dataclasses.fields(shape):
+        hint = hints[field.name]
+        innerHints = typing.get_args(hint)
+        isItems = typing.get_origin(hint) is list and dataclasses.is_dataclass(innerHints[0])
+        hasDefault = (
+            field.default is not dataclasses.MISSING or field.default_factory is not dataclasses.MISSING
+        )
+        plans[field.name] = _FieldPlan(
+            field.name, hint, hasDefault, hint if dataclasses.is_dataclass(hint) else None,
+            innerHints[0] if isItems else None,
+        )
+    return plans, frozenset(plans)
+
+
+def _build(shape: Any, data: Any) -> Any:
+    """From data in which no fault was found."""
+    plans, _ = _plan_of(shape)
+    values = {}
+    for name, value in data.items():
+        plan = plans[name]
+        if plan.innerShape is not None:
+            value = _build(plan.innerShape, value)
+        elif plan.itemShape is not None:
+            value = [_build(plan.itemShape, item) for item in value]
+        values[name] = value
+    return shape(**values)
 
 
 def _find_faults(shape: Any, data: object, path: str, faults: list[str]) -> None:
@@ -32,35 +71,28 @@
         faults.append(f"{path or 'file'}: must be an object")
         return
     prefix = f"{path}." if path else ""
-    hints = _hints_of(shape)
-    knownNames = {f.name for f in dataclasses.fields(shape)}
-    faults.extend(f"{prefix}{name}: unknown field" for name in sorted(map(str, set(data) - knownNames)))
-    for field in dataclasses.fields(shape):
-        fieldPath = prefix + field.name
-        hasDefault = (
-            field.default is not dataclasses.MISSING or field.default_factory is not dataclasses.MISSING
-        )
-        if field.name not in data:
-            if not hasDefault:
-                faults.append(f"{fieldPath}: missing")
+    plans, knownNames = _plan_of(shape)
+    if not data.keys() <= knownNames:
+        faults.extend(f"{prefix}{name}: unknown field" for name in sorted(map(str, set(data) - knownNames)))
+    for name, plan in plans.items():
+        if name not in data:
+            if not plan.hasDefault:
+                faults.append(f"{prefix}{name}: missing")
             continue
-        value, hint = data[field.name], hints[field.name]
-        innerHints = typing.get_args(hint)
-        if dataclasses.is_dataclass(hint):
-            _find_faults(hint, value, fieldPath, faults)
-        elif typing.get_origin(hint) is list and dataclasses.is_dataclass(innerHints[0]):
+        value = data[name]
+        if type(value) is plan.hint:
+            continue
+        fieldPath = prefix + name
+        if plan.innerShape is not None:
+            _find_faults(plan.innerShape, value, fieldPath, faults)
+        elif plan.itemShape is not None:
             if not isinstance(value, list):
                 faults.append(f"{fieldPath}: must be a list")
                 continue
             for position, item in enumerate(value):
-                _find_faults(innerHints[0], item, f"{fieldPath}[{position}]", faults)
+                _find_faults(plan.itemShape, item, f"{fieldPath}[{position}]", faults)
         else:
-            _check_leaf(hint, value, fieldPath, faults)
-
-
-@functools.lru_cache(maxsize=256)
-def _hints_of(shape: Any) -> dict[str, Any]:
-    return typing.get_type_hints(shape)
+            _check_leaf(plan.hint, value, fieldPath, faults)
 
 
 @functools.lru_cache(maxsize=256)
@@ -70,8 +102,6 @@
 
 
 def _check_leaf(hint: Any, value: object, path: str, faults: list[str]) -> None:
-    if type(value) is hint:
-        return
     if isinstance(value, bool) and hint in (int, float):
         faults.append(f"{path}: must be a number")
         return
