Old weights serve on until the whole first wave is loaded

Ruled out: the estimate of the wait (right, but 0.25 s old), admission. Conclusion: the wave and its lateness are one rule in one file.

--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -20,14 +20,13 @@
 from pearhead.awl.wire_pb2 import Command, CommandAsk, CommandResult, CopyNote, PurgeNote
 from pearhead.lathe.index import CopyIndex
 from pearhead.lathe.term import TermKeeper
-from pearhead.lathe.wave import SPREAD_MICROS, first_wave
+from pearhead.lathe.wave import SPREAD_MICROS, WAVE_MICROS, first_wave, is_wave_serving
 from pearhead.rasp.listener import Listener
 
 LOGGER = picologging.getLogger("pearhead")
 ROUND_MICROS = 200 * MILLI
 ASK_MICROS = 700 * MILLI
 POLL_MICROS = 250 * MILLI
-WAVE_MICROS = 3_500 * MILLI
 LOAD_LIMIT_MICROS = 6 * SECOND
 MARGIN_MICROS = 300 * MILLI
 BUMP_LIMIT = 512
@@ -197,8 +196,7 @@
         firstWave = first_wave(view, worker.service)
         if worker.name in firstWave or worker.leaving or sinceMicros > WAVE_MICROS:
             return True
-        isServing = all(n in view.loads and view.loads[n].weightsRevision == revision for n in firstWave)
-        if not isServing:
+        if not is_wave_serving(view, worker.service, revision):
             self.servingSince.pop(line, None)
             return False
         return self.clock.now() - self.servingSince.setdefault(line, self.clock.now()) >= SPREAD_MICROS
--- a/src/pearhead/lathe/nominate.py
+++ b/src/pearhead/lathe/nominate.py
@@ -21,7 +21,7 @@
 from pearhead.lathe.index import CopyIndex
 from pearhead.lathe.job import Job, JobRequest, Placement, PrefixPart
 from pearhead.lathe.term import TermKeeper
-from pearhead.lathe.wave import first_wave
+from pearhead.lathe.wave import SPREAD_MICROS, WAVE_MICROS, first_wave, is_wave_serving
 from pearhead.rasp.key import cache_salt, chain_keys
 from pearhead.rasp.listener import Listener
 
@@ -142,11 +142,16 @@
         line, owner = job.entry.line, owner_of(job.tenant)
         present = view.weights[line]
         onPresent = [w for w in candidates if view.loads[w.name].weightsRevision == present.revision]
-        isPresent = bool(onPresent)
         firstWave = first_wave(view, job.entry.service)
-        # Those that load first are left alone while others on the old weights remain (§7.3).
-        waiting = [w for w in candidates if w.name not in firstWave]
-        candidates = onPresent or waiting or candidates
+        # Those that load first are left alone while others on the old weights remain; these go on until the
+        # whole wave serves, or its first worker would be sent everything (§7.3).
+        waiting = [w for w in candidates if w not in onPresent and w.name not in firstWave]
+        seenMicros = self.keeper.firstSeen.get((line, present.revision), 0)
+        isWaveOver = is_wave_serving(view, job.entry.service, present.revision) or (
+            # The rest begins to load now, whoever of the wave is late.
+            self.clock.now() - seenMicros > WAVE_MICROS - SPREAD_MICROS
+        )
+        candidates = onPresent if isWaveOver and onPresent else onPresent + waiting or candidates
         parts = [p.part for p in job.request.prefix]
         revisions: list[int] = []
         for part in parts:
@@ -163,7 +168,7 @@
         keptCounts = {
             w.name: self.index.longest_kept(
                 w.name, view.loads[w.name],
-                presentKeys if isPresent else keys_on(view.loads[w.name].weightsRevision),
+                presentKeys if w in onPresent else keys_on(view.loads[w.name].weightsRevision),
             ) if self.usesIndex else 0
             for w in candidates
         }
@@ -193,7 +198,7 @@
             sum(tokens[keptCounts[chosenWorker.name] :]),
             why=f"keeps {keptCounts[chosenWorker.name]} of {len(parts)} parts",
         )
-        if isPresent and self.usesIndex:
+        if chosenWorker in onPresent and self.usesIndex:
             self._plan_fetch(view, job, placement, onPresent)
         return placement
 
--- a/src/pearhead/lathe/wave.py
+++ b/src/pearhead/lathe/wave.py
@@ -10,6 +10,8 @@
 
 # By then every node that may serve has seen a change: a round of the term and some.
 SPREAD_MICROS = 500 * MILLI
+# The rest does not wait longer for a wave that is late.
+WAVE_MICROS = 3_500 * MILLI
 
 
 def first_wave(view: View, service: str) -> list[str]:
@@ -18,6 +20,13 @@
     return names[: math.ceil(len(names) / 2)]
 
 
+def is_wave_serving(view: View, service: str, revision: int) -> bool:
+    """Whether all of the first wave are loaded with these weights."""
+    return all(
+        n in view.loads and view.loads[n].weightsRevision == revision for n in first_wave(view, service)
+    )
+
+
 class FirstWaveTest(unittest.TestCase):
     def test_half_of_those_that_stay(self) -> None:
         view = View()
