A caller too slow for its deadline is cut; the real carrier under test

Cause: the deadline was a limit round a yield, so when it passed while a slow caller was written to, it cancelled the job's task from outside, and the caller stayed connected to nothing. Ruled out: the library's stream, the queue in between. Before: the new test waits 10 s in vain. After: the stream is cut at the deadline and the upstream closed. Seven ways of a broken back end all read as cut, only 404, 429 and 503 whole as refusals; no redirect is followed. Conclusion: limits stand round awaits that give nothing out.

--- a/src/pearhead/lathe/node.py
+++ b/src/pearhead/lathe/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import random
 from collections import deque
@@ -246,11 +247,9 @@
                     if "usage" in event:
                         self._take_usage(job, placement, event["usage"])
                         self.nominator.take_success(worker.name)
-                        await pen.write({
-                            "job": job.jobId, "end": True, "lines": lineCount, "usage": event["usage"],
-                        })
+                        await self._write(job, pen, {"end": True, "lines": lineCount, "usage": event["usage"]})
                         return Ok(None)
-                    await pen.write({"job": job.jobId, "line": lineCount, "text": self._read_text(event)})
+                    await self._write(job, pen, {"line": lineCount, "text": self._read_text(event)})
                     lineCount += 1
             raise CarryFault(CUT, "the stream ended without its closing line")
         except CarryFault as fault:
@@ -271,6 +270,14 @@
                 self.nominator.end_prefill(worker.name, placement.missedTokens)
             self.nominator.end(worker.name)
 
+    async def _write(self, job: Job, pen: Pen, line: dict[str, Any]) -> None:
+        """A caller too slow for its own deadline is taken for gone."""
+        try:
+            async with asyncio.timeout(max(0, job.left_micros(self.clock.now())) / SECOND):
+                await pen.write({"job": job.jobId, **line})
+        except TimeoutError as fault:
+            raise PenGone from fault
+
     def _read_text(self, event: dict[str, Any]) -> str:
         try:
             return str(event["choices"][0]["text"])
--- a/src/pearhead/lathe/tornadocarrier.py
+++ b/src/pearhead/lathe/tornadocarrier.py
@@ -73,13 +73,10 @@
             connection.write_headers(startLine, headers, bodyBytes)
             connection.finish()
             readTask = asyncio.ensure_future(self._read(connection, delegate))
-            async with asyncio.timeout_at(endSeconds):
-                async for event in self._events(delegate):
-                    yield event
+            async for event in self._events(delegate, endSeconds):
+                yield event
             if not delegate.isWhole:
                 raise CarryFault(CUT, "the connection was cut")
-        except TimeoutError as fault:
-            raise CarryFault(CUT, "the deadline passed while it ran") from fault
         finally:
             upstreamStream.close()
             if readTask is not None:
@@ -93,10 +90,17 @@
         finally:
             await delegate.chunkQueue.put(None)
 
-    async def _events(self, delegate: _StreamDelegate) -> AsyncGenerator[dict[str, Any], None]:
+    async def _events(
+        self, delegate: _StreamDelegate, endSeconds: float
+    ) -> AsyncGenerator[dict[str, Any], None]:
         pending = b""
         while True:
-            chunk = await delegate.chunkQueue.get()
+            # Only this wait is limited here: a limit round a yield would cancel whoever takes the event.
+            leftSeconds = endSeconds - asyncio.get_running_loop().time()
+            try:
+                chunk = await asyncio.wait_for(delegate.chunkQueue.get(), max(0.0, leftSeconds))
+            except TimeoutError as fault:
+                raise CarryFault(CUT, "the deadline passed while it ran") from fault
             if chunk is not None:
                 pending += chunk
             if delegate.status and delegate.status != 200:
--- /dev/null
+++ b/tests/test_carrier.py
@@ -0,0 +1,89 @@
+"""TornadoCarrier against a back end of the test's own: each way that a job can fail, and what it says."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from contextlib import aclosing
+from typing import Any
+
+from pearhead.lathe.carry import CUT, NOT_SENT, REFUSED, CarryFault, UpstreamJob
+from pearhead.lathe.tornadocarrier import TornadoCarrier
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(text: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(text), text)
+
+
+class TornadoCarrierTest(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, response: bytes, staysOpen: bool = False) -> str:
+        self.requests: list[bytes] = []
+        self.gone = asyncio.Event()
+
+        async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(response)
+            await writer.drain()
+            if staysOpen:
+                while await reader.read(2**16):
+                    pass
+                self.gone.set()
+            writer.close()
+
+        server = await asyncio.start_server(take, "127.0.0.1", 0)
+        self.addAsyncCleanup(self.close, server)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def close(self, server: asyncio.Server) -> None:
+        server.close()
+
+    async def carry(self, address: str, limitMicros: int = 5_000_000) -> list[dict[str, Any]]:
+        upstreamJob = UpstreamJob("u", "m", "b", "s", "t", limitMicros=limitMicros)
+        async with aclosing(TornadoCarrier().carry(address, upstreamJob)) as events:
+            return [event async for event in events]
+
+    async def stage(self, address: str, limitMicros: int = 5_000_000) -> str:
+        with self.assertRaises(CarryFault) as caught:
+            await self.carry(address, limitMicros)
+        return caught.exception.stage
+
+    async def test_a_whole_stream_split_anywhere_is_read(self) -> None:
+        text = b'data: {"id": "cmpl-u", "n": 1}\n\ndata: {"id": "cmpl-u", "n": 2}\n\ndata: [DONE]\n\n'
+        pieces = b"".join(chunk(text[i : i + 7]) for i in range(0, len(text), 7))
+        address = await self.serve(HEAD + pieces + b"0\r\n\r\n")
+        self.assertEqual([event["n"] for event in await self.carry(address)], [1, 2])
+        self.assertIn(b"X-Request-Id: u", self.requests[0])
+        self.assertIn(b"Connection: close", self.requests[0])
+
+    async def test_what_never_connected_was_not_sent(self) -> None:
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        portNumber = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        self.assertEqual(await self.stage(f"127.0.0.1:{portNumber}"), NOT_SENT)
+
+    async def test_only_documented_refusals_say_that_it_did_not_run(self) -> None:
+        for status, wanted in ((404, REFUSED), (429, REFUSED), (503, REFUSED), (500, CUT), (302, CUT), (400, CUT)):
+            head = f"HTTP/1.1 {status} X\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 2\r\n\r\n{{}}"
+            self.assertEqual(await self.stage(await self.serve(head.encode())), wanted, status)
+            self.assertEqual(len(self.requests), 1, "no redirect is followed")
+
+    async def test_all_else_is_cut(self) -> None:
+        line = chunk(b'data: {"id": "cmpl-u"}\n\n')
+        for response in (
+            b"",  # closed without a word
+            b"HTTP/1.1 200",  # closed in the head
+            HEAD + line,  # closed before its last chunk
+            HEAD + chunk(b"data: {not json}\n\n") + b"0\r\n\r\n",
+            HEAD + chunk(b"data: [1]\n\n") + b"0\r\n\r\n",
+            b"HTTP/1.1 404 X\r\nContent-Length: 20\r\n\r\n{}",  # a refusal cut short is none
+            b"not http at all\r\n\r\n",
+        ):
+            self.assertEqual(await self.stage(await self.serve(response)), CUT, response)
+
+    async def test_the_deadline_ends_it_and_closes_the_connection(self) -> None:
+        address = await self.serve(HEAD, staysOpen=True)
+        self.assertEqual(await self.stage(address, 200_000), CUT)
+        await asyncio.wait_for(self.gone.wait(), 10)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 import socket
@@ -218,6 +219,18 @@
         self.assertLess(lastCount * len(CHUNK), 40_000_000, "200 MB must not pile up in between")
         self.assertLess(lastCount, self.carrier.lineCount)
 
+    async def test_a_caller_too_slow_for_its_deadline_is_cut_and_the_upstream_ended(self) -> None:
+        self.carrier.lineCount, self.carrier.text = 2_000, CHUNK
+        self.send(self.notice(deadlineMicros=300_000))
+        await self.reader.readuntil(b"\r\n\r\n")
+        await asyncio.wait_for(self.carrier.closed.wait(), 10)
+        received = b""
+        with contextlib.suppress(ConnectionError):
+            while chunk := await self.reader.read(2**20):
+                received = received[-20:] + chunk
+        self.assertFalse(received.endswith(b"0\r\n\r\n"), "a cut stream was closed as a whole one")
+        self.assertEqual(self.node.openJobs, 0)
+
     async def test_a_draining_node_refuses_new_jobs_and_ends_accepted_ones(self) -> None:
         self.node.isDraining = True
         self.send(self.notice())
