--- a/src/pearhead/jig/sim/scale.py
+++ b/src/pearhead/jig/sim/scale.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from typing import Any
 
@@ -13,8 +14,11 @@
 from pearhead.jig.sim.fleet import SimFleet
 from pearhead.jig.sim.world import World, pause, run_virtual
 from pearhead.lathe.node import NodeProcess
+from pearhead.rasp.channel import object_channel
 
 Row = dict[str, Any]
+CASTS = 200
+LOSS = 0.3
 
 
 def _totals(fleet: SimFleet) -> dict[str, tuple[int, int]]:
@@ -27,6 +31,34 @@
     return totals
 
 
+def _count_fan_out(fleet: SimFleet, owner: str) -> Row:
+    """One cast on an object's channel, by the directory as it is: direct, or by one relay an area.
+
+    A relay is one of the listeners. `reached` is counted over 200 casts with 30 % of datagrams lost.
+    """
+    sender = fleet.nodes["node-1"].directory
+    listeners = set(sender.listeners(object_channel(owner, fleet.deployment.line, 1)))
+    byArea: dict[str, list[str]] = {}
+    for record in sender.members():
+        if record.address in listeners:
+            byArea.setdefault(record.area, []).append(record.address)
+    chance = random.Random(1)
+    directCount = relayCount = relaySent = 0
+    for _ in range(CASTS):
+        directCount += sum(chance.random() >= LOSS for _ in listeners)
+        for addresses in byArea.values():
+            relaySent += 1
+            if chance.random() >= LOSS:
+                relaySent += len(addresses) - 1
+                relayCount += 1 + sum(chance.random() >= LOSS for _ in addresses[1:])
+    return {
+        "sender's burst, direct": len(listeners), "sender's burst, relays": len(byArea),
+        "reached, direct": directCount / CASTS / max(1, len(listeners)),
+        "reached, relays": relayCount / CASTS / max(1, len(listeners)),
+        "datagrams a cast, relays": relaySent / CASTS,
+    }
+
+
 def run_nodes(nodeCount: int) -> Row:
     """Ten quiet seconds, one apply and one bump in a fleet of so many nodes."""
 
@@ -51,6 +83,7 @@
         bumpBefore = _totals(fleet)["purgeNote"]
         await fleet.nodes["node-1"].listener.bump(owner, fleet.deployment.line, 1)
         bumpAfter = _totals(fleet)["purgeNote"]
+        fanOut = _count_fan_out(fleet, owner)
         applyBefore = _totals(fleet)["termResult"]
         await fleet.apply(fleet.marked_description("a"))
         startMicros = world.now()
@@ -62,7 +95,7 @@
             "term bytes/s at a core": termBytes / 3, "hello messages/s": helloCount, "hello bytes/s": helloBytes,
             "datagrams a bump": bumpAfter[0] - bumpBefore[0], "bytes a bump": bumpAfter[1] - bumpBefore[1],
             "apply in force, ms": (world.now() - startMicros) / MILLI,
-            "bytes of an apply": applyAfter[1] - applyBefore[1],
+            "bytes of an apply": applyAfter[1] - applyBefore[1], **fanOut,
         }
 
     row: Row = run_virtual(1, play)
