Replacing a core is judged as planned work: no job may be dropped by it

Cause: three replacements under load were judged by their acknowledgements only. Before: dropped jobs would have passed. Ruled out: nothing had to be changed.

--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -122,6 +122,8 @@
 @scenario
 async def disk_lost_after_yes(fleet: SimFleet) -> None:
     """A core's disk goes right after an acknowledgement; a machine comes back empty, at a new address."""
+    # Replacing a core is planned work too: no job may be dropped by it.
+    fleet.ledger.plannedCount += 1
     for number in range(3):
         await fleet.apply(fleet.marked_description(str(number)))
         name = fleet.leader()
