One piece for what stood twice; a job's way asks of a roll-out only while one is on

Cause, found by reading the whole change: the operator key was compared in two handlers, the directory's rows were built in two processes, a service's role was searched for in three places, and every job sorted all workers for the first wave though all were on the present weights. Also a constant nobody used. Ruled out for now: each log entry is parsed twice, by the fleet and by the core. Conclusion: behaviour stays.

--- a/src/pearhead/anvil/core.py
+++ b/src/pearhead/anvil/core.py
@@ -377,11 +377,7 @@
                 {"identity": m.identity, "address": m.address, "voter": m.voter}
                 for m in self.raft.members().member
             ],
-            "directory": [
-                {"identity": r.identity, "address": r.address, "role": r.role, "area": r.area,
-                 "httpAddress": r.httpAddress}
-                for r in self.directory.members()
-            ],
+            "directory": self.directory.rows(),
         }
 
     async def read_fleet(self) -> dict[str, Any] | None:
--- a/src/pearhead/anvil/operatorapi.py
+++ b/src/pearhead/anvil/operatorapi.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import hmac
 import json
 from typing import Any
 
 from tornado.web import Application, RequestHandler
 
 from pearhead.anvil.core import CoreProcess
-from pearhead.awl.startup import Startup
+from pearhead.awl.startup import Startup, is_operator
 from pearhead.awl.wire_pb2 import Command, CommandResult, Worker
 
 STATUS_CODES = {"done": 200, "conflict": 409, "refused": 422, "held": 409, "unavailable": 503, "unknown": 504}
@@ -21,9 +20,7 @@
         self.startup = startup
 
     def prepare(self) -> None:
-        wantedKey = self.startup.operatorKey
-        givenKey = self.request.headers.get("Authorization", "").removeprefix("Bearer ")
-        if wantedKey and not hmac.compare_digest(wantedKey.encode(), givenKey.encode()):
+        if not is_operator(self.startup, self.request.headers.get("Authorization", "")):
             self.set_status(401)
             self.finish({"status": "refused", "faults": ["a wrong operator key"]})
 
--- a/src/pearhead/awl/directory.py
+++ b/src/pearhead/awl/directory.py
@@ -44,6 +44,14 @@
         found = [record for _, record in byAddress.values() if role is None or record.role == role]
         return sorted(found, key=lambda r: r.identity)
 
+    def rows(self) -> list[dict[str, str]]:
+        """The live records as operators' tools read them."""
+        return [
+            {"identity": r.identity, "address": r.address, "role": r.role, "area": r.area,
+             "httpAddress": r.httpAddress}
+            for r in self.members()
+        ]
+
     def listeners(self, channelNumber: int) -> list[str]:
         """Addresses of the members that joined a channel (§6.2)."""
         foundAddresses = []
--- a/src/pearhead/awl/startup.py
+++ b/src/pearhead/awl/startup.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import hmac
 import json
 import sys
 import tomllib
@@ -95,6 +96,12 @@
     return Err(faults) if faults else Ok(checked.ok_value)
 
 
+def is_operator(startup: Startup, authorization: str) -> bool:
+    """Whether a request's Authorization header carries the operator key, where one is set."""
+    givenKey = authorization.removeprefix("Bearer ")
+    return not startup.operatorKey or hmac.compare_digest(startup.operatorKey.encode(), givenKey.encode())
+
+
 def startup_help(programName: str) -> str:
     """What `run --help` prints: every field, its kind and its default."""
     lines = [f"{programName} run [--startup FILE] [--FIELD=VALUE ...]", "", "Startup fields:"]
--- a/src/pearhead/awl/view.py
+++ b/src/pearhead/awl/view.py
@@ -105,6 +105,10 @@
             (e.line, t, k): e for e in self.description.entries for t in e.tenants for k in e.kinds
         }
 
+    @cached_property
+    def roleByService(self) -> dict[str, str]:
+        return {s.name: s.role for s in self.description.services}
+
     @cached_property
     def lineNames(self) -> frozenset[str]:
         return frozenset(x.name for x in self.description.lines)
--- a/src/pearhead/jig/workermodel.py
+++ b/src/pearhead/jig/workermodel.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from pearhead.awl.clock import MILLI, SECOND, Clock, rest
+from pearhead.awl.clock import MILLI, Clock, rest
 
 PREFILL_MICROS_A_TOKEN = 100
 LINE_MICROS = 15 * MILLI
@@ -291,4 +291,3 @@
 
 
 FETCH_MICROS_A_TOKEN = 20
-RUN_LIMIT_MICROS = 60 * SECOND
--- a/src/pearhead/lathe/front.py
+++ b/src/pearhead/lathe/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hmac
 import json
 from typing import Any
 
@@ -11,7 +10,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler, stream_request_body
 
-from pearhead.awl.startup import Startup
+from pearhead.awl.startup import Startup, is_operator
 from pearhead.lathe.carry import PenGone
 from pearhead.lathe.errors import ERROR_TABLE, NOT_RUN, ErrorKind, Refusal
 from pearhead.lathe.job import read_job
@@ -126,9 +125,7 @@
         self.startup = startup
 
     def get(self) -> None:
-        givenKey = self.request.headers.get("Authorization", "").removeprefix("Bearer ")
-        wantedKey = self.startup.operatorKey
-        if wantedKey and not hmac.compare_digest(wantedKey.encode(), givenKey.encode()):
+        if not is_operator(self.startup, self.request.headers.get("Authorization", "")):
             self.set_status(401)
             self.finish({})
             return
--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -126,7 +126,7 @@
         )
 
     def _service_role(self, view: View, worker: WorkerFact) -> str:
-        return next((s.role for s in view.description.services if s.name == worker.service), "application")
+        return view.roleByService.get(worker.service, "application")
 
     async def _ask_hold(self, name: str, heldFence: int) -> None:
         try:
--- a/src/pearhead/lathe/node.py
+++ b/src/pearhead/lathe/node.py
@@ -315,11 +315,7 @@
                  "tied": worker in view.loads and view.loads[worker].life == held.life}
                 for worker, held in sorted(self.index.copies.items())
             ],
-            "directory": [
-                {"identity": r.identity, "address": r.address, "role": r.role, "area": r.area,
-                 "httpAddress": r.httpAddress}
-                for r in self.directory.members()
-            ],
+            "directory": self.directory.rows(),
         }
 
     def soundness(self) -> dict[str, Any]:
--- a/src/pearhead/lathe/nominate.py
+++ b/src/pearhead/lathe/nominate.py
@@ -70,7 +70,7 @@
         return Ok(placement)
 
     def is_model(self, view: View, service: str) -> bool:
-        return any(s.name == service and s.role == "model" for s in view.description.services)
+        return view.roleByService.get(service) == "model"
 
     def begin(self, worker: str, missedTokens: int) -> None:
         self.runningCounts[worker] = self.runningCounts.get(worker, 0) + 1
@@ -142,16 +142,8 @@
         line, owner = job.entry.line, owner_of(job.tenant)
         present = view.weights[line]
         onPresent = [w for w in candidates if view.loads[w.name].weightsRevision == present.revision]
-        firstWave = first_wave(view, job.entry.service)
-        # Those that load first are left alone while others on the old weights remain; these go on until the
-        # whole wave serves, or its first worker would be sent everything (§7.3).
-        waiting = [w for w in candidates if w not in onPresent and w.name not in firstWave]
-        seenMicros = self.keeper.firstSeen.get((line, present.revision), 0)
-        isWaveOver = is_wave_serving(view, job.entry.service, present.revision) or (
-            # The rest begins to load now, whoever of the wave is late.
-            self.clock.now() - seenMicros > WAVE_MICROS - SPREAD_MICROS
-        )
-        candidates = onPresent if isWaveOver and onPresent else onPresent + waiting or candidates
+        if len(onPresent) < len(candidates):
+            candidates = self._candidates_in_roll_out(view, job, candidates, onPresent)
         parts = [p.part for p in job.request.prefix]
         revisions: list[int] = []
         for part in parts:
@@ -202,6 +194,23 @@
             self._plan_fetch(view, job, placement, onPresent)
         return placement
 
+    def _candidates_in_roll_out(
+        self, view: View, job: Job, candidates: list[WorkerFact], onPresent: list[WorkerFact]
+    ) -> list[WorkerFact]:
+        assert job.entry is not None
+        line = job.entry.line
+        present = view.weights[line]
+        firstWave = first_wave(view, job.entry.service)
+        # Those that load first are left alone while others on the old weights remain; these go on until the
+        # whole wave serves, or its first worker would be sent everything (§7.3).
+        waiting = [w for w in candidates if w not in onPresent and w.name not in firstWave]
+        seenMicros = self.keeper.firstSeen.get((line, present.revision), 0)
+        isWaveOver = is_wave_serving(view, job.entry.service, present.revision) or (
+            # The rest begins to load now, whoever of the wave is late.
+            self.clock.now() - seenMicros > WAVE_MICROS - SPREAD_MICROS
+        )
+        return onPresent if isWaveOver and onPresent else onPresent + waiting or candidates
+
     def _plan_fetch(self, view: View, job: Job, placement: Placement, workers: list[WorkerFact]) -> None:
         """Fetches only what is current, tied, of the same owner, and quicker than prefill (§8.6)."""
         bestSource, bestCount = None, placement.reusedParts
@@ -211,9 +220,8 @@
             keptCount = self.index.longest_kept(worker.name, view.loads[worker.name], placement.keys)
             if keptCount > bestCount:
                 bestSource, bestCount = worker, keptCount
-        stores = {s.name for s in view.description.services if s.role == "store"}
         for _, store in sorted(view.workers.items()):
-            if store.service in stores and not store.leaving:
+            if view.roleByService.get(store.service) == "store" and not store.leaving:
                 keptCount = self.index.held_in_store(store.name, placement.keys)
                 if keptCount > bestCount:
                     bestSource, bestCount = store, keptCount
