--- a/src/pearhead/jig/sim/edges.py
+++ b/src/pearhead/jig/sim/edges.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, Callable, Coroutine
 from contextlib import aclosing
 from dataclasses import dataclass
 from typing import Any
@@ -11,7 +11,7 @@
 from result import Err, Result
 
 from pearhead.awl.clock import SECOND
-from pearhead.jig.sim.world import Machine
+from pearhead.jig.sim.world import LINK_MICROS, Machine
 from pearhead.jig.workermodel import (
     FETCH_MICROS_A_TOKEN,
     ApplicationModel,
@@ -20,7 +20,7 @@
     WorkerModel,
     WorkerRefusal,
 )
-from pearhead.lathe.carry import CUT, NOT_SENT, REFUSED, CarryFault, UpstreamJob
+from pearhead.lathe.carry import CUT, NOT_SENT, REFUSED, WITHDRAWN, CarryFault, MayBegin, UpstreamJob
 
 
 @dataclass
@@ -33,20 +33,62 @@
 
 BackEnds = dict[str, BackEnd]
 END = object()
+CONNECT_MICROS = SECOND
+JOB = "job"
+COMMAND = "command"
+
+
+def open_connection(
+    node: Machine, worker: Machine, purpose: str, limitMicros: int, begin: Callable[[], None],
+    fail: Callable[[str], None],
+) -> None:
+    """A handshake of its own before any byte: `begin` runs on the node, past its gate, when it is over."""
+    world = node.world
+    isSettled = False
+
+    def settle(action: Callable[[], None]) -> Callable[[], None]:
+        def settle_once() -> None:
+            nonlocal isSettled
+            if not isSettled:
+                isSettled = True
+                action()
+
+        return settle_once
+
+    def go_back(action: Callable[[], None]) -> None:
+        if not world.is_cut(worker.name, node.name):
+            world.loop.call_later(world.link_micros() / SECOND, node.gate(settle(action)))
+
+    def arrive() -> None:
+        if world.is_cut(node.name, worker.name):
+            return
+        if not worker.isAlive:
+            go_back(lambda: fail("connection refused"))
+        elif not worker.isFrozen or worker.kernelAnswers:
+            trap = world.connectTraps.pop((node.name, purpose), None)
+            if trap is not None:
+                trap(worker)
+            go_back(begin)
+
+    world.loop.call_later(world.link_micros() / SECOND, arrive)
+    node.after(min(CONNECT_MICROS, limitMicros), settle(lambda: fail("no connection")))
 
 
 class SimCarrier:
-    def __init__(self, machine: Machine, backEnds: BackEnds) -> None:
+    def __init__(self, machine: Machine, backEnds: BackEnds, watch: Callable[[str, str], None]) -> None:
         self.machine = machine
         self.world = machine.world
         self.backEnds = backEnds
+        self.watch = watch
 
-    async def carry(self, workerAddress: str, upstreamJob: UpstreamJob) -> AsyncGenerator[dict[str, Any], None]:
-        backEnd = self.backEnds[workerAddress]
-        worker, node, world = backEnd.machine, self.machine, self.world
+    async def carry(
+        self, workerAddress: str, upstreamJob: UpstreamJob, mayBegin: MayBegin
+    ) -> AsyncGenerator[dict[str, Any], None]:
+        worker, node, world = self.backEnds[workerAddress].machine, self.machine, self.world
         events: asyncio.Queue[Any] = asyncio.Queue()
         runTasks: list[asyncio.Task[Any]] = []
         lastArrival = 0
+        isClosed = False
 
         def hand_back(item: Any) -> None:
             """Over the link in order, and through the node's gate."""
@@ -58,8 +100,9 @@
 
         async def run() -> None:
             try:
-                assert not isinstance(backEnd.model, StoreModel)
-                runEvents = backEnd.model.run(upstreamJob.to_request(), upstreamJob.upstreamId)
+                model = self.backEnds[workerAddress].model
+                assert not isinstance(model, StoreModel)
+                runEvents = model.run(upstreamJob.to_request(), upstreamJob.upstreamId)
                 async with aclosing(runEvents) as openEvents:
                     async for event in openEvents:
                         hand_back(event)
@@ -70,22 +113,30 @@
                 hand_back(CarryFault(CUT, "reset"))
                 raise
 
-        hasLink = not world.is_cut(node.name, worker.name) and not world.is_cut(worker.name, node.name)
-
-        def arrive() -> None:
-            # A handshake needs both ways; a cut that begins after it loses the request.
-            if not hasLink or world.is_cut(node.name, worker.name):
+        def send() -> None:
+            """The last check and the first byte, in one step of the node."""
+            if isClosed:
                 return
-            if not worker.isAlive:
-                hand_back(CarryFault(NOT_SENT, "connection refused"))
+            if not mayBegin():
+                events.put_nowait(CarryFault(WITHDRAWN, "it may not begin any more"))
                 return
-            worker.gate(lambda: runTasks.append(worker.crew.start(run())))()
+            self.watch(upstreamJob.upstreamId, worker.name)
+            workerLife = worker.life
+
+            def arrive() -> None:
+                if world.is_cut(node.name, worker.name):
+                    return
+                if not worker.isAlive or worker.life != workerLife:
+                    hand_back(CarryFault(CUT, "reset"))
+                    return
+                worker.gate(lambda: runTasks.append(worker.crew.start(run())))()
 
-        world.loop.call_later(world.link_micros() / SECOND, arrive)
-        if not hasLink:
-            # No connection comes about, so nothing was sent.
-            node.after(min(SECOND, upstreamJob.limitMicros),
-                       lambda: events.put_nowait(CarryFault(NOT_SENT, "no connection")))
+            world.loop.call_later(world.link_micros() / SECOND, arrive)
+
+        def fail(why: str) -> None:
+            events.put_nowait(CarryFault(NOT_SENT, why))
+
+        open_connection(node, worker, JOB, upstreamJob.limitMicros, send, fail)
         node.after(upstreamJob.limitMicros, lambda: events.put_nowait(CarryFault(CUT, "deadline")))
         try:
             while True:
@@ -96,32 +147,74 @@
                     raise item
                 yield item
         finally:
-            # The node closes its connection; the worker stops unless the link is cut.
-            for runTask in runTasks:
+            # The node closes its connection; the worker stops, once it hears of it.
+            isClosed = True
+
+            def stop_runs() -> None:
+                for runTask in runTasks:
+                    # What was read before the close has begun by then.
+                    world.loop.call_later(1 / SECOND, runTask.cancel)
+
+            def arrive_close() -> None:
                 if not world.is_cut(node.name, worker.name):
-                    world.loop.call_later(world.link_micros() / SECOND, runTask.cancel)
+                    worker.gate(stop_runs)()
+
+            world.loop.call_later(2 * LINK_MICROS[1] / SECOND, arrive_close)
 
 
 class SimLink:
     """Commands and reports, noted with the node that gave them."""
 
-    def __init__(self, machine: Machine, backEnds: BackEnds, watch: Callable[[str, str, int], None]) -> None:
+    def __init__(
+        self, machine: Machine, backEnds: BackEnds, watch: Callable[[str, str, int, int], None]
+    ) -> None:
         self.machine = machine
         self.world = machine.world
         self.backEnds = backEnds
         self.watch = watch
 
+    async def claim(self, address: str, fence: int, mayBegin: MayBegin) -> Result[dict[str, Any], str]:
+        return await self._command(address, fence, lambda model: model.claim(fence), SECOND, mayBegin)
+
     async def load(
-        self, address: str, fence: int, line: str, weights: str, limitMicros: int
+        self, address: str, fence: int, line: str, weights: str, limitMicros: int, mayBegin: MayBegin
+    ) -> Result[dict[str, Any], str]:
+        return await self._command(
+            address, fence, lambda model: model.load(fence, f"{line}@{weights}"), limitMicros, mayBegin
+        )
+
+    async def _command(
+        self, address: str, fence: int, command: Callable[[WorkerModel], Coroutine[Any, Any, dict[str, Any]]],
+        limitMicros: int, mayBegin: MayBegin,
     ) -> Result[dict[str, Any], str]:
         backEnd = self.backEnds[address]
+        sentMicros = 0
 
         async def work() -> dict[str, Any]:
-            assert isinstance(backEnd.model, WorkerModel)
-            self.watch(self.machine.name, backEnd.machine.name, fence)
-            return await backEnd.model.load(fence, f"{line}@{weights}")
+            model = self.backEnds[address].model
+            assert isinstance(model, WorkerModel)
+            self.watch(self.machine.name, backEnd.machine.name, fence, sentMicros)
+            return await command(model)
+
+        beginFuture: asyncio.Future[str] = self.world.loop.create_future()
+
+        def settle(why: str) -> None:
+            if not beginFuture.done():
+                beginFuture.set_result(why)
+
+        def begin() -> None:
+            nonlocal sentMicros
+            sentMicros = self.world.now()
+            if mayBegin():
+                self.machine.crew.start(self._ask(backEnd, work, limitMicros, resultFuture))
+                settle("")
+            else:
+                settle("not within its term any more")
 
-        return await self._call(backEnd, work, limitMicros)
+        resultFuture: asyncio.Future[Result[dict[str, Any], str]] = self.world.loop.create_future()
+        open_connection(self.machine, backEnd.machine, COMMAND, limitMicros, begin, settle)
+        why = await beginFuture
+        return Err(why) if why else await resultFuture
 
     async def events(self, address: str, life: str, after: int) -> Result[dict[str, Any], str]:
         backEnd = self.backEnds[address]
@@ -130,22 +223,21 @@
             assert not isinstance(backEnd.model, ApplicationModel)
             return backEnd.model.events(life, after)
 
-        return await self._call(backEnd, work, SECOND)
-
-    async def _call(self, backEnd: BackEnd, work: Any, limitMicros: int) -> Result[dict[str, Any], str]:
         resultFuture: asyncio.Future[Result[dict[str, Any], str]] = self.world.loop.create_future()
+        self.machine.crew.start(self._ask(backEnd, work, SECOND, resultFuture))
+        return await resultFuture
 
-        async def ask() -> None:
-            givenResult = await self.world.call_into(backEnd.machine, self.machine.name, work, limitMicros)
-
-            def settle() -> None:
-                if not resultFuture.done():
-                    resultFuture.set_result(givenResult)
+    async def _ask(
+        self, backEnd: BackEnd, work: Any, limitMicros: int,
+        resultFuture: asyncio.Future[Result[dict[str, Any], str]],
+    ) -> None:
+        givenResult = await self.world.call_into(backEnd.machine, self.machine.name, work, limitMicros)
 
-            self.machine.gate(settle)()
+        def settle() -> None:
+            if not resultFuture.done():
+                resultFuture.set_result(givenResult)
 
-        self.machine.crew.start(ask())
-        return await resultFuture
+        self.machine.gate(settle)()
 
 
 class SimFetch:
--- a/src/pearhead/jig/sim/fleet.py
+++ b/src/pearhead/jig/sim/fleet.py
@@ -12,15 +12,16 @@
 
 from pearhead.anvil.core import CoreProcess
 from pearhead.awl.clock import MILLI, SECOND
+from pearhead.awl.description import build_checked
 from pearhead.awl.startup import Startup
 from pearhead.awl.wire_pb2 import Command, CommandResult, PurgeNote, Worker
 from pearhead.jig.deployment import Deployment, build_description, draw_job, tenant_key
 from pearhead.jig.sim.edges import BackEnd, BackEnds, SimCarrier, SimFetch, SimLink
-from pearhead.jig.sim.ledger import Accept, JobTrace, Ledger
+from pearhead.jig.sim.ledger import JobTrace, Ledger, Send, WorkerCommand
 from pearhead.jig.sim.world import SimNet, World, pause
 from pearhead.jig.workermodel import ApplicationModel, RunRecord, StoreModel, WorkerModel
 from pearhead.lathe.errors import ERROR_TABLE, NOT_RUN, Refusal
-from pearhead.lathe.job import Job, read_job
+from pearhead.lathe.job import read_job
 from pearhead.lathe.node import NodeProcess
 from pearhead.vise.wal import WalCorrupt
 
@@ -52,6 +53,7 @@
         self.deployment = deployment
         self.digestEvery = digestEvery
         self.ledger = Ledger(deployment)
+        self.book = self.ledger.book
         self.nodeCount = nodeCount or deployment.nodeCount
         self.workerCount = workerCount or deployment.workerCount
         self.cores: dict[str, CoreProcess] = {}
@@ -62,7 +64,7 @@
         self.jobNumber = 0
         self.applyNumber = 0
         self.loadTasks: list[asyncio.Task[None]] = []
-        self.burstTask: asyncio.Task[None] | None = None
+        self.burstTasks: list[asyncio.Task[None]] = []
         self.actions: list[tuple[int, str, dict[str, Any]]] = []
         self.leavingSince: dict[str, int] = {}
         self.openJobs: set[asyncio.Task[None]] = set()
@@ -71,15 +73,20 @@
         self.buildCore: Callable[[CoreProcess], None] = lambda core: None
         coreNames = [f"core-{n + 1}" for n in range(deployment.coreCount)]
         self.coreAddresses = [f"{name}:1" for name in coreNames]
-        for number, name in enumerate(coreNames):
-            self.startups[name] = self._startup(name, number, founders=self.coreAddresses)
+        for name in coreNames:
+            self.startups[name] = self._startup(name, founders=self.coreAddresses)
         for number in range(self.nodeCount):
             name = f"node-{number + 1}"
-            self.startups[name] = self._startup(name, number, founders=[])
+            self.startups[name] = self._startup(name, founders=[])
 
-    def _startup(self, name: str, number: int, founders: list[str]) -> Startup:
+    def area_of(self, name: str) -> str:
+        """Machines of each role go round the areas by their numbers; those that are single are in the last."""
+        _, _, numberText = name.partition("-")
+        return self.deployment.areas[(int(numberText) - 1) % 3 if numberText else 2]
+
+    def _startup(self, name: str, founders: list[str]) -> Startup:
         return Startup(
-            address=f"{name}:1", httpAddress=f"{name}:2", area=self.deployment.areas[number % 3],
+            address=f"{name}:1", httpAddress=f"{name}:2", area=self.area_of(name),
             seeds=self.coreAddresses, founders=founders, dataFolder="disk", digestEvery=self.digestEvery,
             keptEntries=self.digestEvery // 4,
         )
@@ -100,6 +107,7 @@
         )
         core.crew = machine.crew
         self._watch_bumps(core)
+        self._watch_grants(core)
         self.buildCore(core)
         self.cores[name] = core
 
@@ -117,14 +125,15 @@
         machine.boot()
         startup = self.startups[name]
         node = NodeProcess(
-            startup, machine, SimNet(machine, startup.address), SimCarrier(machine, self.backEnds),
+            startup, machine, SimNet(machine, startup.address), SimCarrier(
+                machine, self.backEnds, lambda upstreamId, worker: self._watch_send(name, upstreamId, worker)
+            ),
             SimLink(machine, self.backEnds, self._watch_command), machine.chance,
         )
         # The machine's crew is what a crash ends.
         for part in (node, node.keeper, node.listener, node.holder):
             part.crew = machine.crew
         self.buildNode(node)
-        node.watch = lambda job: self._watch_job(name, machine.life, job)
         node.start()
         machine.crew.start(node.wait_open())
         self.nodes[name] = node
@@ -159,25 +168,35 @@
     def cut(self, firstNames: list[str], secondNames: list[str], bothWays: bool = True) -> None:
         before = set(self.world.cuts)
         self.world.cut(firstNames, secondNames, bothWays)
+        for pair in sorted(self.world.cuts - before):
+            self.book.begin("cut", pair, self.world.now())
         self._act("cut", pairs=[list(pair) for pair in sorted(self.world.cuts - before)])
 
     def heal(self) -> None:
         self._act("heal")
+        for pair in sorted(self.world.cuts):
+            self.book.end("cut", pair, self.world.now())
         self.world.heal()
 
     def start(self, name: str) -> None:
         self._act("start", name=name)
         self.knownDead.discard(name)
+        self.book.end("dead", (name,), self.world.now())
+        self.book.end("frozen", (name,), self.world.now())
         if name.startswith("core-"):
             self.start_core(name)
+            self._note_names()
         elif name.startswith("node-"):
             self.start_node(name)
+            self._note_names()
         else:
             self.start_back_end(name)
 
     def kill(self, name: str, losesPower: bool = False) -> None:
         self._act("power" if losesPower else "kill", name=name)
         self.world.note(f"{'cuts the power of' if losesPower else 'kills'} {name}")
+        if self._lives(name):
+            self.book.begin("dead", (name,), self.world.now())
         self.world.machine(name).crash(losesPower)
         process = self.cores.get(name) or self.nodes.get(name)
         if process is not None and hasattr(process, "courier"):
@@ -203,30 +222,60 @@
     def freeze(self, name: str) -> None:
         self._act("freeze", name=name)
         self.world.note(f"freezes {name}")
+        if not self.world.machine(name).isFrozen:
+            self.book.begin("frozen", (name,), self.world.now())
         self.world.machine(name).freeze()
 
     def wake(self, name: str) -> None:
         self._act("wake", name=name)
         self.world.note(f"wakes {name}")
+        self.book.end("frozen", (name,), self.world.now())
         self.world.machine(name).wake()
 
+    def set_disk(self, name: str, kind: str, isOn: bool) -> None:
+        """Stalls or fills a disk, or ends it."""
+        self.world.note(f"the disk of {name} is {kind if isOn else 'well again'}")
+        disk = self.world.machine(name).disk
+        if kind == "stalled":
+            disk.isStalled = isOn
+        else:
+            disk.isFull = isOn
+        if isOn:
+            self.book.begin("disk", (name,), self.world.now())
+        else:
+            self.book.end("disk", (name,), self.world.now())
+
+    def set_cast_loss(self, loss: float, double: float = 0.0) -> None:
+        self.world.castLoss, self.world.castDouble = loss, double
+        self.book.disturb(self.world.now())
+
+    def lose_core(self, name: str) -> None:
+        """Power and disk are gone for good."""
+        self.kill(name, losesPower=True)
+        self.world.machine(name).disk.empty()
+        self.forget_core(name)
+
+    def forget_core(self, name: str) -> None:
+        self.cores.pop(name)
+        self._note_names()
+
     def add_node(self, name: str) -> None:
         """A node that is given only the cores of now for seeds."""
         liveAddresses = [self.startups[n].address for n in self.live_cores()]
         self.startups[name] = dataclasses.replace(
-            self._startup(name, 0, founders=[]), seeds=liveAddresses
+            self._startup(name, founders=[]), seeds=liveAddresses
         )
-        self.start_node(name)
+        self.start(name)
 
     def add_core(self, name: str) -> None:
         """An empty machine at a new address; seeds are whatever cores live now."""
         liveAddresses = [self.startups[n].address for n in self.live_cores()]
         self.startups[name] = Startup(
-            address=f"{name}:1", httpAddress=f"{name}:2", area="north", dataFolder="disk",
+            address=f"{name}:1", httpAddress=f"{name}:2", area=self.area_of(name), dataFolder="disk",
             seeds=liveAddresses or self.coreAddresses, founders=self.coreAddresses, digestEvery=self.digestEvery,
             keptEntries=self.digestEvery // 4,
         )
-        self.start_core(name)
+        self.start(name)
 
     def _lives(self, name: str) -> bool:
         return self.world.machine(name).isAlive
@@ -249,8 +298,16 @@
         await self.set_workers()
         await self.apply(build_description(self.deployment))
         await self.until(self._is_ready, "the fleet is up")
+        self._note_names()
+        self.book.standings.clear()
+        self.book.eventMicros.clear()
         self.world.note("is up")
 
+    def _note_names(self) -> None:
+        self.ledger.coreNames, self.ledger.nodeNames = set(self.cores), set(self.nodes)
+        self.ledger.workerNames = {b.machine.name for a, b in self.backEnds.items() if a.startswith("worker-")}
+        self.book.machineNames = set(self.world.machines)
+
     def _is_ready(self) -> bool:
         for name, node in self.nodes.items():
             view = node.keeper.view
@@ -295,14 +352,24 @@
             while True:
                 await pause(self.world, round(self.world.chance.expovariate(jobsASecond) * SECOND))
                 self.jobNumber += 1
-                job = {"model": self.deployment.line, "kind": kind, "body": f"long {self.jobNumber}",
-                       "jobId": f"burst-{self.jobNumber}", "prefix": [{"part": 900, "tokens": 2_000}]}
+                job: dict[str, Any] = {"model": self.deployment.line, "kind": kind, "body": f"{kind} {self.jobNumber}",
+                       "jobId": f"burst-{self.jobNumber}"}
+                if kind == self.deployment.longKind:
+                    job.update(body=f"long {self.jobNumber}", prefix=[{"part": 900, "tokens": 2_000}])
                 nodeName = self.world.chance.choice(sorted(self.nodes))
                 callTask = self.world.loop.create_task(void_call(self.call(nodeName, tenant, job)))
                 self.openJobs.add(callTask)
                 callTask.add_done_callback(self.openJobs.discard)
 
-        self.burstTask = self.world.loop.create_task(burst())
+        if not self.burstTasks:
+            self.book.begin("burst", ("callers",), self.world.now())
+        self.burstTasks.append(self.world.loop.create_task(burst()))
+
+    def end_bursts(self) -> None:
+        for burstTask in self.burstTasks:
+            burstTask.cancel()
+        self.burstTasks.clear()
+        self.book.end("burst", ("callers",), self.world.now())
 
     def draw_transaction(self) -> bytes:
         return self.world.chance.randbytes(8)
@@ -316,7 +383,7 @@
                 continue
             service = {"store": "kept-parts", "desk": "desk"}.get(name, "models")
             command.workers.worker.append(Worker(
-                name=name, address=address, area="north", service=service, leaving=name in leaving
+                name=name, address=address, area=self.area_of(name), service=service, leaving=name in leaving
             ))
         await self.insist(command)
         for name in sorted(set(self.leavingSince) - {*leaving, *removed}):
@@ -334,6 +401,7 @@
         if result.status == "done":
             revision = json.loads(result.body)["revision"]
             self.descriptionRevision = max(self.descriptionRevision, revision)
+            self.ledger.descriptions[revision] = build_checked(description)
             self.ledger.applies.append((revision, self.world.now()))
             self.ledger.applySpans.append((startMicros, self.world.now(), revision))
         else:
@@ -376,10 +444,11 @@
     # ---- callers -------------------------------------------------------------------------------------
 
     def start_load(self, jobsASecond: float) -> None:
+        self.ledger.isLoaded = True
         self.loadTasks.append(self.world.loop.create_task(self._call_on(jobsASecond)))
 
     async def end_load(self) -> None:
-        for loadTask in self.loadTasks + ([self.burstTask] if self.burstTask else []):
+        for loadTask in self.loadTasks + self.burstTasks:
             loadTask.cancel()
         endMicros = self.world.now() + JOB_MICROS + SECOND
         while self.openJobs and self.world.now() < endMicros:
@@ -446,18 +515,31 @@
 
     # ---- watching -------------------------------------------------------------------------------------
 
-    def _watch_job(self, nodeName: str, nodeLife: int, job: Job) -> None:
-        nowMicros = self.world.now()
-        trace = self.ledger.jobs.get(job.jobId)
-        if trace is not None:
-            trace.acceptedMicros = nowMicros
-        self.ledger.accepts.append(Accept(
-            nodeName, nodeLife, nowMicros, job.jobId, job.view.descriptionRevision,
-            frozenset(t.name for t in job.view.description.tenants if t.name.startswith("mark-")),
-        ))
-
-    def _watch_command(self, nodeName: str, workerName: str, fence: int) -> None:
-        self.ledger.commands.append((nodeName, workerName, fence, self.world.now()))
+    def _watch_send(self, nodeName: str, upstreamId: str, worker: str) -> None:
+        """The first byte of a job leaves its node."""
+        view = self.nodes[nodeName].keeper.view
+        self.ledger.sends[upstreamId] = Send(
+            nodeName, self.world.machine(nodeName).life, self.world.now(), upstreamId.split(".")[0], worker,
+            view.descriptionRevision,
+            frozenset(t.name for t in view.description.tenants if t.name.startswith("mark-")),
+        )
+
+    def _watch_command(self, nodeName: str, workerName: str, fence: int, sentMicros: int) -> None:
+        self.ledger.commands.append(WorkerCommand(nodeName, workerName, fence, sentMicros, self.world.now()))
+
+    def _watch_grants(self, core: CoreProcess) -> None:
+        """When a hold was first applied by any core: it was committed no later."""
+        realApply = core.apply
+
+        def apply(index: int, commandBytes: bytes) -> dict[str, Any]:
+            outcome = realApply(index, commandBytes)
+            command = Command.FromString(commandBytes)
+            if command.HasField("hold") and outcome["status"] == "done":
+                grant = (command.hold.holder, self.world.now())
+                self.ledger.grants.setdefault((command.hold.worker, outcome["fence"]), grant)
+            return outcome
+
+        core.apply = apply  # type: ignore[method-assign]
 
     def _watch_bumps(self, core: CoreProcess) -> None:
         realBump = core.bump
--- a/src/pearhead/jig/sim/ledger.py
+++ b/src/pearhead/jig/sim/ledger.py
@@ -7,14 +7,17 @@
 from typing import Any
 
 from pearhead.awl.clock import MILLI, SECOND
+from pearhead.awl.description import Description
 from pearhead.jig.caller import find_stream_faults
 from pearhead.jig.deployment import Deployment
+from pearhead.jig.sim.faultbook import FaultBook
 from pearhead.jig.workermodel import RunRecord
 
 FORCE_MICROS = 2_300 * MILLI
 LEAVING_MICROS = 3 * SECOND
 RECOVERY_MICROS = 12 * SECOND
 RETRY_SHARE = 0.1
+ANSWER_MICROS = 200 * MILLI
 PLANNED_REFUSALS = 0.005
 
 
@@ -28,19 +31,28 @@
     outcome: str = "open"
     isRefused: bool = False
     endMicros: int = 0
-    acceptedMicros: int = -1
 
 
 @dataclass
-class Accept:
-    """A node took a job with this view."""
+class Send:
+    """The first byte of a job left a node, which held this view."""
 
     node: str
     nodeLife: int
     atMicros: int
     jobId: str
+    worker: str
     descriptionRevision: int
-    tenants: frozenset[str]
+    marks: frozenset[str]
+
+
+@dataclass
+class WorkerCommand:
+    node: str
+    worker: str
+    fence: int
+    sentMicros: int
+    atMicros: int
 
 
 @dataclass
@@ -48,7 +60,13 @@
     deployment: Deployment
     jobs: dict[str, JobTrace] = field(default_factory=dict)
     runs: list[tuple[str, RunRecord]] = field(default_factory=list)
-    accepts: list[Accept] = field(default_factory=list)
+    sends: dict[str, Send] = field(default_factory=dict)
+    book: FaultBook = field(default_factory=FaultBook)
+    coreNames: set[str] = field(default_factory=set)
+    nodeNames: set[str] = field(default_factory=set)
+    workerNames: set[str] = field(default_factory=set)
+    descriptions: dict[int, Description] = field(default_factory=dict)
+    grants: dict[tuple[str, int], tuple[str, int]] = field(default_factory=dict)
     applies: list[tuple[int, int]] = field(default_factory=list)
     losers: list[frozenset[str]] = field(default_factory=list)
     applySpans: list[tuple[int, int, int]] = field(default_factory=list)
@@ -57,13 +75,13 @@
     namings: list[tuple[int, int, str]] = field(default_factory=list)
     leavings: list[tuple[str, int, int]] = field(default_factory=list)
     bumps: list[tuple[str, int, str, int]] = field(default_factory=list)
-    commands: list[tuple[str, str, int, int]] = field(default_factory=list)
-    heals: list[int] = field(default_factory=list)
+    commands: list[WorkerCommand] = field(default_factory=list)
     breaches: list[str] = field(default_factory=list)
     retryCount: int = 0
     carriedCount: int = 0
     endMicros: int = 0
     plannedCount: int = 0
+    isLoaded: bool = False
     lastRevisions: set[int] = field(default_factory=set)
     lastWeights: int = 0
     lastParts: dict[str, dict[int, int]] = field(default_factory=dict)
@@ -77,7 +95,7 @@
             self._check_streams, self._check_runs, self._check_owners, self._check_force,
             self._check_weights, self._check_leaving, self._check_bumps, self._check_commands,
             self._check_recovery, self._check_retries, self._check_lasting,
-            self._check_planned, self._check_histories,
+            self._check_planned, self._check_histories, self._check_held_back,
         ):
             found.extend(f"{check.__name__[7:]}: {fault}" for fault in check())
         return found
@@ -110,52 +128,104 @@
                     faults.append(f"{record.upstreamId}: {record.tenant} ran on a prefix of {tenant}")
         return faults
 
+    def begin_micros(self, worker: str, record: RunRecord) -> int:
+        """When a run began; one that lay at a frozen worker counts from when its node let it go."""
+        send = self.sends.get(record.upstreamId)
+        if send is not None and self.book.froze_between(worker, send.atMicros, record.atMicros):
+            return send.atMicros
+        return record.atMicros
+
+    def _begins(self) -> dict[str, int]:
+        """By upstream id: when a job began at its back end, or was sent if it never did."""
+        begins = {upstreamId: send.atMicros for upstreamId, send in self.sends.items()}
+        for worker, record in self.runs:
+            begins[record.upstreamId] = self.begin_micros(worker, record)
+        return begins
+
     def _check_force(self) -> list[str]:
-        """In force 2 s after the acknowledgement, never back, never a losing one, no withdrawn key."""
+        """In force 2 s after the acknowledgement, never back, never a losing one, no withdrawn key or entry.
+
+        Judged where a job begins: by what its node held when the first byte left.
+        """
         faults = []
         latest: dict[tuple[str, int], int] = {}
-        for accept in self.accepts:
-            key = (accept.node, accept.nodeLife)
-            if accept.descriptionRevision < latest.get(key, 0):
-                faults.append(f"{accept.node} went back to {accept.descriptionRevision}")
-            latest[key] = max(latest.get(key, 0), accept.descriptionRevision)
+        begins = self._begins()
+        for upstreamId, send in self.sends.items():
+            beginMicros = begins[upstreamId]
+            key = (send.node, send.nodeLife)
+            if send.descriptionRevision < latest.get(key, 0):
+                faults.append(f"{send.node} went back to {send.descriptionRevision}")
+            latest[key] = max(latest.get(key, 0), send.descriptionRevision)
             for revision, ackMicros in self.applies:
-                if accept.atMicros > ackMicros + FORCE_MICROS and accept.descriptionRevision < revision:
-                    faults.append(f"{accept.jobId} on {accept.node} before revision {revision}")
+                if beginMicros > ackMicros + FORCE_MICROS and send.descriptionRevision < revision:
+                    faults.append(f"{upstreamId} on {send.node} began before revision {revision}")
             for marks in self.losers:
-                if marks <= accept.tenants:
-                    faults.append(f"{accept.node} served a losing configuration {sorted(marks)}")
-            trace = self.jobs.get(accept.jobId)
-            for tenant, ackMicros in self.withdrawals:
-                if trace and trace.tenant == tenant and accept.atMicros > ackMicros + FORCE_MICROS:
-                    faults.append(f"{accept.jobId} with the withdrawn key of {tenant}")
+                if marks <= send.marks:
+                    faults.append(f"{send.node} served a losing configuration {sorted(marks)}")
+            trace = self.jobs.get(send.jobId)
+            description = self.descriptions.get(send.descriptionRevision)
+            if trace is not None and description is not None:
+                fault = self._find_match_fault(description, trace, send.worker)
+                if fault:
+                    faults.append(f"{upstreamId} on {send.node} under {send.descriptionRevision}: {fault}")
+        if self.applies and self.isLoaded and self._is_served_after(max(a for _, a in self.applies) + FORCE_MICROS):
+            newest = max(r for r, _ in self.applies)
+            if not any(s.descriptionRevision >= newest for s in self.sends.values()):
+                faults.append(f"nothing was ever served under revision {newest}")
         return faults
 
+    def _find_match_fault(self, description: Description, trace: JobTrace, worker: str) -> str:
+        if not any(t.name == trace.tenant for t in description.tenants):
+            return f"the key of {trace.tenant} is withdrawn"
+        service = "desk" if worker == "desk" else "models"
+        kind = trace.job["kind"]
+        found = [e for e in description.entries if kind in e.kinds and {trace.tenant, "*"} & set(e.tenants)]
+        if not any(e.service == service for e in found):
+            return f"no entry sends {kind} of {trace.tenant} to {service}"
+        return ""
+
     def _check_weights(self) -> list[str]:
         faults = []
         order = {name: revision for revision, _, name in self.namings}
-        for _, record in self.runs:
+        firstBegins: dict[int, int] = {}
+        for worker, record in self.runs:
             if "@" not in record.loadedModel:
                 continue
             loadedRevision = order.get(record.loadedModel.split("@")[1], 0)
-            trace = self.jobs.get(record.upstreamId.split(".")[0])
-            if trace is None or trace.acceptedMicros < 0:
-                continue
+            beginMicros = self.begin_micros(worker, record)
+            firstBegins[loadedRevision] = min(firstBegins.get(loadedRevision, beginMicros), beginMicros)
             for revision, ackMicros, name in self.namings:
                 limitMicros = ackMicros + self.deployment.weightsLimitMicros
-                if trace.acceptedMicros > limitMicros and loadedRevision < revision:
-                    faults.append(f"{record.upstreamId} on {record.loadedModel} long after {name}")
+                if beginMicros > limitMicros and loadedRevision < revision:
+                    faults.append(f"{record.upstreamId} began on {record.loadedModel} long after {name}")
+        for revision, ackMicros, name in self.namings:
+            limitMicros = ackMicros + self.deployment.weightsLimitMicros
+            isServed = any(r >= revision and at <= limitMicros for r, at in firstBegins.items())
+            if self.isLoaded and not isServed and self._was_sound(ackMicros, limitMicros):
+                faults.append(f"no job began on {name} within the limit")
         return faults
 
+    def _was_sound(self, startMicros: int, endMicros: int) -> bool:
+        """Whether a node and a majority of cores stood all the time, and no fault came or went in it."""
+        return (
+            self.book.is_quiet(endMicros, endMicros - startMicros) and endMicros < self.endMicros
+            and bool(self.sound_nodes(startMicros))
+        )
+
+    def _is_served_after(self, fromMicros: int) -> bool:
+        return any(t.outcome == "done" and t.sentMicros > fromMicros for t in self.jobs.values())
+
+    def sound_nodes(self, atMicros: int) -> set[str]:
+        return self.book.sound_nodes(atMicros, self.nodeNames, self.coreNames, self.workerNames)
+
     def _check_leaving(self) -> list[str]:
         faults = []
         for worker, ackMicros, endMicros in self.leavings:
             for ranWorker, record in self.runs:
-                trace = self.jobs.get(record.upstreamId.split(".")[0])
-                if ranWorker != worker or trace is None:
+                if ranWorker != worker:
                     continue
-                if ackMicros + LEAVING_MICROS < trace.acceptedMicros < endMicros:
-                    faults.append(f"{record.upstreamId} on leaving {worker}")
+                if ackMicros + LEAVING_MICROS < self.begin_micros(worker, record) < endMicros:
+                    faults.append(f"{record.upstreamId} began on leaving {worker}")
         return faults
 
     def _check_bumps(self) -> list[str]:
@@ -182,27 +252,42 @@
         faults = []
         highest: dict[str, int] = {}
         holders: dict[tuple[str, int], str] = {}
-        for node, worker, fence, _ in self.commands:
+        for command in self.commands:
+            node, worker, fence = command.node, command.worker, command.fence
             if fence < highest.get(worker, 0):
-                faults.append(f"{worker} took the older fence {fence}")
+                faults.append(f"{worker} was sent the older fence {fence}")
             highest[worker] = max(highest.get(worker, 0), fence)
             if holders.setdefault((worker, fence), node) != node:
                 faults.append(f"{worker}: fence {fence} used by two holders")
+            isHeldUp = self.book.froze_between(worker, command.sentMicros, command.atMicros)
+            beginMicros = command.sentMicros if isHeldUp else command.atMicros
+            for (otherWorker, otherFence), (_, grantMicros) in self.grants.items():
+                if otherWorker == worker and otherFence > fence and grantMicros < beginMicros:
+                    faults.append(f"{worker}: a command of {node} by {fence} began after {otherFence} was granted")
         return faults
 
     def _check_recovery(self) -> list[str]:
-        """From 12 s after the last fault on, no job is refused for want of a service."""
-        if not self.heals:
+        """From 12 s after the last fault came or went on, while others may stand, whom the platform could
+        know to be sound serves: no job sent there is refused or lost for want of a service."""
+        if not self.isLoaded:
             return []
-        fromMicros = max(self.heals) + RECOVERY_MICROS
-        late = [t for t in self.jobs.values() if t.sentMicros > fromMicros]
-        if not late:
-            return ["no job was sent after the time for recovery"]
+        judged = [t for t in self.jobs.values() if self._must_serve(t)]
+        if not judged:
+            return ["no job was sent at a time and place where it had to be served"]
         return [
-            f"{t.job['jobId']} at {t.node} was {t.outcome} {(t.sentMicros - max(self.heals)) / SECOND:.1f} s after"
-            for t in late if t.outcome not in ("done", "open") and not self._is_withdrawn(t)
+            f"{t.job['jobId']} at {t.node} was {t.outcome} at {t.sentMicros / SECOND:.1f}"
+            for t in judged if t.outcome != "done" and not self._is_withdrawn(t)
         ]
 
+    def _must_serve(self, trace: JobTrace) -> bool:
+        forMicros = RECOVERY_MICROS + trace.endMicros - trace.sentMicros
+        isQuiet = trace.outcome != "open" and self.book.is_quiet(trace.endMicros, forMicros)
+        if self.book.is_overloaded(trace.sentMicros):
+            return False
+        if trace.job["kind"] == "notice" and not self.book.stands("desk", trace.sentMicros):
+            return False  # There is one application worker; with it gone its jobs have nowhere to go.
+        return isQuiet and trace.node in self.sound_nodes(trace.sentMicros)
+
     def _check_lasting(self) -> list[str]:
         """What was acknowledged is there at the end, whatever was lost on the way."""
         faults = [f"revision {r} was acknowledged and is gone" for r, _ in self.applies if r not in self.lastRevisions]
@@ -242,21 +327,43 @@
                 faults.append(f"a read that ended at {endMicros} saw {revision} before it was asked for")
         return faults
 
+    def _check_held_back(self) -> list[str]:
+        """A job that can't run any more has its final answer at once: no refusal waits in a queue."""
+        faults = []
+        for trace in self.jobs.values():
+            for tenant, ackMicros in self.withdrawals:
+                knownMicros = ackMicros + FORCE_MICROS + ANSWER_MICROS
+                isLate = trace.sentMicros < ackMicros and trace.isRefused and trace.endMicros > knownMicros
+                if trace.tenant == tenant and isLate and not self.book.froze_between(
+                    trace.node, trace.sentMicros, trace.endMicros
+                ):
+                    faults.append(f"{trace.job['jobId']} at {trace.node} was told {trace.outcome} "
+                                  f"{(trace.endMicros - ackMicros) / SECOND:.1f} s after its key was withdrawn")
+        return faults
+
     def _check_retries(self) -> list[str]:
         if self.retryCount > RETRY_SHARE * self.carriedCount:
             return [f"{self.retryCount} retries for {self.carriedCount} jobs"]
         return []
 
     def _is_withdrawn(self, trace: JobTrace) -> bool:
-        return trace.outcome == "bad_key" and any(t == trace.tenant for t, _ in self.withdrawals)
+        """Refused as some description says that was in force on the way."""
+        return trace.outcome in ("bad_key", "not_entitled") and any(
+            self._find_match_fault(d, trace, "desk") and self._find_match_fault(d, trace, "models")
+            for d in self.descriptions.values()
+        )
 
     def recovery_micros(self) -> int | None:
-        """From the last fault to the first second in which no job failed."""
-        if not self.heals:
-            return None
-        start = max(self.heals)
-        bad = [t.sentMicros for t in self.jobs.values()
-               if t.sentMicros >= start and t.outcome not in ("done", "open") and not self._is_withdrawn(t)]
-        return max(bad) - start if bad else 0
-
-
+        """The worst, over faults that came or went, from there to the last failure before the next one."""
+        times = sorted(set(self.book.eventMicros))
+        worst: int | None = None
+        for startMicros, nextMicros in zip(times, [*times[1:], self.endMicros], strict=False):
+            if not self.sound_nodes(startMicros):
+                continue
+            bad = [
+                t.sentMicros for t in self.jobs.values()
+                if startMicros <= t.sentMicros < nextMicros and t.outcome not in ("done", "open")
+                and t.node in self.sound_nodes(t.sentMicros) and not self._is_withdrawn(t)
+            ]
+            worst = max(worst or 0, max(bad) - startMicros if bad else 0)
+        return worst
--- a/src/pearhead/jig/sim/mutations.py
+++ b/src/pearhead/jig/sim/mutations.py
@@ -8,15 +8,17 @@
 from dataclasses import dataclass
 from typing import Any
 
+from result import Ok
+
 from pearhead.anvil.core import CoreProcess
 from pearhead.anvil.fleet import Fleet
 from pearhead.awl.view import View, WorkerFact
 from pearhead.awl.wire_pb2 import BumpPart, Command, TakeHold
 from pearhead.jig.sim.fleet import SimFleet
 from pearhead.jig.sim.world import SimDisk
-from pearhead.jig.workermodel import WorkerModel
+from pearhead.jig.workermodel import WorkerModel, WorkerRefusal
 from pearhead.lathe import nominate
-from pearhead.lathe.carry import CUT, CarryFault, UpstreamJob
+from pearhead.lathe.carry import CUT, CarryFault, MayBegin, UpstreamJob
 from pearhead.lathe.job import Job
 from pearhead.lathe.node import NodeProcess
 from pearhead.rasp.key import cache_salt, chain_keys
@@ -51,8 +53,10 @@
     def change(node: NodeProcess) -> None:
         realCarry = node.carrier.carry
 
-        async def carry(workerAddress: str, upstreamJob: UpstreamJob) -> AsyncGenerator[dict[str, Any], None]:
-            async for event in realCarry(workerAddress, upstreamJob):
+        async def carry(
+            workerAddress: str, upstreamJob: UpstreamJob, mayBegin: MayBegin
+        ) -> AsyncGenerator[dict[str, Any], None]:
+            async for event in realCarry(workerAddress, upstreamJob, mayBegin):
                 if "usage" in event or node.chance.random() > 0.05:
                     yield event
 
@@ -68,9 +72,11 @@
     def change(node: NodeProcess) -> None:
         realCarry = node.carrier.carry
 
-        async def carry(workerAddress: str, upstreamJob: UpstreamJob) -> AsyncGenerator[dict[str, Any], None]:
+        async def carry(
+            workerAddress: str, upstreamJob: UpstreamJob, mayBegin: MayBegin
+        ) -> AsyncGenerator[dict[str, Any], None]:
             try:
-                async for event in realCarry(workerAddress, upstreamJob):
+                async for event in realCarry(workerAddress, upstreamJob, mayBegin):
                     yield event
             except CarryFault as fault:
                 raise CarryFault("not_sent" if fault.stage == CUT else fault.stage, fault.detail) from fault
@@ -101,7 +107,7 @@
     vars(nominate)["owner_of"] = lambda tenant: "group:all"
 
 
-@mutation("node-isolated", "force")
+@mutation("node-cut-off-from-cores", "force")
 def term_unchecked(fleet: SimFleet) -> None:
     def change(node: NodeProcess) -> None:
         node.keeper.is_current = lambda: True  # type: ignore[method-assign]
@@ -277,3 +283,68 @@
         node.holder.soundnessWatcher = lambda worker: None
 
     _on_nodes(fleet, change)
+
+
+@mutation("nodes-freeze-as-they-connect", "force")
+def last_check_skipped(fleet: SimFleet) -> None:
+    def change(node: NodeProcess) -> None:
+        node._may_begin = lambda job, placement: True  # type: ignore[method-assign]
+
+    _on_nodes(fleet, change)
+
+
+@mutation("entries-move-while-jobs-queue", "force")
+def matched_only_once(fleet: SimFleet) -> None:
+    """Key and entry are looked at before a job queues, and never again."""
+
+    def change(node: NodeProcess) -> None:
+        realLook = node._look
+
+        def look(job: Job) -> Any:
+            return Ok(None) if job.entry is not None else realLook(job)
+
+        node._look = look  # type: ignore[method-assign]
+        node._may_begin = lambda job, placement: True  # type: ignore[method-assign]
+
+    _on_nodes(fleet, change)
+
+
+@mutation("entries-move-while-jobs-queue", "held_back")
+def queues_never_reviewed(fleet: SimFleet) -> None:
+    def change(node: NodeProcess) -> None:
+        node.admission.review = lambda judge: None  # type: ignore[method-assign]
+
+    _on_nodes(fleet, change)
+
+
+@mutation("holder-freezes-as-it-commands", "commands")
+def commands_unchecked(fleet: SimFleet) -> None:
+    def change(node: NodeProcess) -> None:
+        node.holder._is_within_term = lambda name, fence: True  # type: ignore[method-assign]
+
+    _on_nodes(fleet, change)
+
+
+@mutation("weights-under-load", "weights")
+def new_weights_never_served(fleet: SimFleet) -> None:
+    """Nothing runs on the old ones for too long, as nothing runs at all."""
+    realLoad = WorkerModel.load
+
+    async def load(self: WorkerModel, fence: int, model: str) -> dict[str, Any]:
+        if not model.endswith("@w1"):
+            raise WorkerRefusal(503, "never")
+        return await realLoad(self, fence, model)
+
+    WorkerModel.load = load  # type: ignore[method-assign]
+
+
+@mutation("ends-on-worker-lost", "recovery")
+def lost_workers_unseen(fleet: SimFleet) -> None:
+    """All would be well once the worker is back, and nothing is while it is gone."""
+
+    def change(node: NodeProcess) -> None:
+        node.nominator.take_fault = lambda worker: None  # type: ignore[method-assign]
+        node.holder.soundnessWatcher = lambda worker: None
+        node.budget.take_out = lambda service: False  # type: ignore[method-assign]
+
+    _on_nodes(fleet, change)
--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from result import Err
 
 from pearhead.anvil.rescue import CONSENT, Rescue
 from pearhead.awl.clock import MILLI, SECOND
 from pearhead.jig.deployment import DEPLOYMENTS
-from pearhead.jig.sim.edges import SimFetch
+from pearhead.jig.sim.edges import COMMAND, JOB, SimFetch
 from pearhead.jig.sim.fleet import SimFleet
 from pearhead.jig.sim.ledger import RECOVERY_MICROS, Ledger
 from pearhead.jig.sim.recording import record_run
-from pearhead.jig.sim.world import World, pause, run_virtual
+from pearhead.jig.sim.world import Machine, World, pause, run_virtual
+from pearhead.jig.workermodel import ApplicationModel
 
 JOBS_A_SECOND = 25.0
 Play = Callable[[SimFleet], Awaitable[None]]
@@ -26,9 +29,8 @@
 
 
 async def settle(fleet: SimFleet) -> None:
-    """The fault is over: what comes 12 s later must be served."""
-    fleet.ledger.heals.append(fleet.world.now())
-    await pause(fleet.world, RECOVERY_MICROS + 2 * SECOND)
+    """What comes from 12 s after the last fault came or went must be served, while it stands and after."""
+    await pause(fleet.world, RECOVERY_MICROS + 3 * SECOND)
 
 
 @scenario
@@ -41,7 +43,7 @@
 async def leader_killed(fleet: SimFleet) -> None:
     name = fleet.leader()
     fleet.kill(name)
-    await pause(fleet.world, 6 * SECOND)
+    await settle(fleet)
     fleet.start(name)
     await settle(fleet)
 
@@ -50,7 +52,7 @@
 async def node_killed(fleet: SimFleet) -> None:
     fleet.kill("node-1")
     fleet.kill("node-2")
-    await pause(fleet.world, 5 * SECOND)
+    await settle(fleet)
     fleet.start("node-1")
     fleet.start("node-2")
     await settle(fleet)
@@ -77,7 +79,7 @@
     await fleet.apply(fleet.marked_description("a"))
     await pause(fleet.world, 5 * SECOND)
     await fleet.name_weights("w2")
-    await pause(fleet.world, 3 * SECOND)
+    await settle(fleet)
     fleet.heal()
     await settle(fleet)
 
@@ -92,17 +94,175 @@
     description["tenants"] = [t for t in description["tenants"] if t["name"] != withdrawn]
     await fleet.apply(description)
     fleet.ledger.withdrawals.append((withdrawn, fleet.world.now()))
+    await settle(fleet)
+    fleet.heal()
+    await settle(fleet)
+
+
+async def withdraw(fleet: SimFleet, tenantName: str, description: dict[str, Any] | None = None) -> None:
+    description = description or fleet.marked_description("withdrawn")
+    description["tenants"] = [t for t in description["tenants"] if t["name"] != tenantName]
+    await fleet.apply(description)
+    fleet.ledger.withdrawals.append((tenantName, fleet.world.now()))
+
+
+def trap_nodes(fleet: SimFleet, purpose: str, names: list[str]) -> list[tuple[str, str]]:
+    """Each of these nodes freezes as its next connection stands, before it sends a byte."""
+    caught: list[tuple[str, str]] = []
+
+    def trap(name: str, worker: Machine) -> None:
+        fleet.freeze(name)
+        caught.append((name, worker.name))
+
+    for name in names:
+        fleet.world.connectTraps[name, purpose] = functools.partial(trap, name)
+    return caught
+
+
+@scenario
+async def nodes_freeze_as_they_connect(fleet: SimFleet) -> None:
+    """Keys, workers and weights go while connections stand that no byte has left by."""
+    names = sorted(fleet.nodes)[: len(fleet.nodes) // 2]
+    caught = trap_nodes(fleet, JOB, names)
+    await fleet.until(lambda: len(caught) == len(names), "all are caught as they connect")
+    await withdraw(fleet, fleet.deployment.tenantNames[0])
+    await fleet.set_workers(leaving=tuple(sorted({worker for _, worker in caught if worker != "desk"})[:2]))
+    await fleet.name_weights("w2")
+    for name in names:
+        await pause(fleet.world, 4 * SECOND)
+        fleet.wake(name)
+    await settle(fleet)
+
+
+@scenario
+async def holder_freezes_as_it_commands(fleet: SimFleet) -> None:
+    """Each holder freezes between its check and its command, and wakes when another holds its workers."""
+    names = sorted(fleet.nodes)
+    caught = trap_nodes(fleet, COMMAND, names[: len(names) - 2])
+    await fleet.name_weights("w2")
+    await fleet.until(lambda: bool(caught), "a holder is caught as it commands")
+    await pause(fleet.world, fleet.world.chance.randrange(3 * SECOND, 6 * SECOND))
+    fleet.world.connectTraps.clear()
+    for name, _ in caught:
+        fleet.wake(name)
+    await settle(fleet)
+
+
+@scenario
+async def entries_move_while_jobs_queue(fleet: SimFleet) -> None:
+    """Queues are long; then an entry points elsewhere, another shuts a tenant out, and a key is withdrawn."""
+    desk = fleet.backEnds["desk:2"].model
+    assert isinstance(desk, ApplicationModel)
+    desk.lineMicros = 150 * MILLI
+    greedy, other = fleet.deployment.tenantNames[0], fleet.deployment.tenantNames[1]
+    description = fleet.marked_description("a")
+    description["entries"][2].update(concurrency=1, queueLimit=64, deadlineMicros=8 * SECOND)
+    await fleet.apply(description)
+    await pause(fleet.world, 2 * SECOND)
+    fleet.start_burst(greedy, 80.0, "notice")
+    fleet.start_burst(other, 40.0, "notice")
+    await pause(fleet.world, 3 * SECOND)
+    await withdraw(fleet, greedy, description)
+    await pause(fleet.world, 4 * SECOND)
+    description["entries"][2]["tenants"] = [n for n in fleet.deployment.tenantNames if n not in (greedy, other)]
+    await fleet.apply(description)
+    await pause(fleet.world, 4 * SECOND)
+    description["entries"][2].update(tenants=["*"], service="models")
+    await fleet.apply(description)
+    await pause(fleet.world, 4 * SECOND)
+    fleet.end_bursts()
+    await settle(fleet)
+
+
+@scenario
+async def node_cut_off_from_cores(fleet: SimFleet) -> None:
+    """A node reaches callers and workers, and neither cores nor colleagues, while all it knows changes."""
+    name = fleet.world.chance.choice(sorted(fleet.nodes))
+    fleet.world.note(f"cuts {name} off from cores and nodes")
+    fleet.cut([name], [*sorted(fleet.cores), *sorted(fleet.nodes)])
+    await withdraw(fleet, fleet.deployment.tenantNames[0])
+    await fleet.set_workers(leaving=("worker-1", "worker-2"))
+    await fleet.name_weights("w2")
+    await settle(fleet)
+    fleet.heal()
+    await settle(fleet)
+
+
+@scenario
+async def core_cut_off_from_nodes(fleet: SimFleet) -> None:
+    """The core is sound and no node reaches it: nodes refuse, as each of them might be the one cut off."""
+    fleet.cut(sorted(fleet.cores), sorted(fleet.nodes))
+    await fleet.apply(fleet.marked_description("a"))
     await pause(fleet.world, 6 * SECOND)
+    if any(n.keeper.is_current() for n in fleet.nodes.values()):
+        fleet.ledger.breaches.append("a node serves without a majority in reach")
     fleet.heal()
     await settle(fleet)
 
 
+@scenario
+async def worker_freezes(fleet: SimFleet) -> None:
+    """A stopped process, whose kernel takes connections on, or a stopped machine."""
+    name = f"worker-{fleet.world.chance.randrange(fleet.workerCount) + 1}"
+    fleet.world.machine(name).kernelAnswers = fleet.world.chance.random() < 0.7
+    fleet.freeze(name)
+    await settle(fleet)
+    fleet.wake(name)
+    await settle(fleet)
+
+
+def end_on(kind: str, strike: Callable[[SimFleet, str], None]) -> None:
+    """A day that ends with one last fault: it is never healed, and the rest serves on."""
+
+    async def play(fleet: SimFleet) -> None:
+        await fleet.name_weights("w2")
+        await pause(fleet.world, fleet.world.chance.randrange(15 * SECOND))
+        number = fleet.world.chance.randrange(100)
+        names = {
+            "leader": [fleet.leader() or "core-1"], "node": sorted(fleet.nodes), "store": ["store"],
+            "worker": [f"worker-{n + 1}" for n in range(fleet.workerCount)], "core": sorted(fleet.cores),
+            "area": list(fleet.deployment.areas),
+        }[kind.split("-")[0]]
+        strike(fleet, names[number % len(names)])
+        await settle(fleet)
+
+    SCENARIOS[f"ends-on-{kind}"] = play
+
+
+def members_of(fleet: SimFleet, area: str) -> list[str]:
+    return [n for n in sorted(fleet.world.machines) if fleet.area_of(n) == area]
+
+
+def lose_area(fleet: SimFleet, area: str) -> None:
+    for name in members_of(fleet, area):
+        fleet.kill(name, losesPower=True)
+
+
+def cut_off(fleet: SimFleet, names: list[str]) -> None:
+    fleet.cut(names, [n for n in sorted(fleet.world.machines) if n not in names])
+
+
+end_on("leader-lost", lambda fleet, name: fleet.lose_core(name))
+end_on("leader-frozen", lambda fleet, name: fleet.freeze(name))
+end_on("leader-isolated", lambda fleet, name: cut_off(fleet, [name]))
+end_on("node-isolated", lambda fleet, name: cut_off(fleet, [name]))
+end_on("node-frozen", lambda fleet, name: fleet.freeze(name))
+end_on("worker-lost", lambda fleet, name: fleet.kill(name, losesPower=True))
+end_on("worker-frozen", lambda fleet, name: fleet.freeze(name))
+end_on("worker-isolated", lambda fleet, name: cut_off(fleet, [name]))
+end_on("store-lost", lambda fleet, name: fleet.kill(name, losesPower=True))
+end_on("core-disk-stalled", lambda fleet, name: fleet.set_disk(name, "stalled", True))
+end_on("core-disk-full", lambda fleet, name: fleet.set_disk(name, "full", True))
+end_on("area-lost", lose_area)
+end_on("area-cut-off", lambda fleet, area: cut_off(fleet, members_of(fleet, area)))
+
+
 @scenario
 async def node_sees_no_workers(fleet: SimFleet) -> None:
     """A one-way loss: answers of workers don't reach one node."""
     workers = [n for n in sorted(fleet.world.machines) if n.startswith("worker-")]
     fleet.cut(workers, ["node-4"], bothWays=False)
-    await pause(fleet.world, 5 * SECOND)
+    await settle(fleet)
     fleet.heal()
     await settle(fleet)
 
@@ -127,9 +287,7 @@
     for number in range(3):
         await fleet.apply(fleet.marked_description(str(number)))
         name = fleet.leader()
-        fleet.kill(name, losesPower=True)
-        fleet.world.machine(name).disk.empty()
-        fleet.cores.pop(name)
+        fleet.lose_core(name)
         fleet.add_core(f"core-{number + 4}")
         await fleet.until(
             lambda: len(fleet.cores) == 3 and all(
@@ -175,7 +333,7 @@
 
 @scenario
 async def datagrams_lost(fleet: SimFleet) -> None:
-    fleet.world.castLoss, fleet.world.castDouble = 0.3, 0.1
+    fleet.set_cast_loss(0.3, 0.1)
     await fleet.name_weights("w2")
     await pause(fleet.world, 12 * SECOND)
     await settle(fleet)
@@ -188,7 +346,7 @@
         fleet.freeze(name)
     await pause(fleet.world, 1 * SECOND)
     await fleet.name_weights("w2")
-    await pause(fleet.world, 5 * SECOND)
+    await settle(fleet)
     for name in (leader, "node-5", "worker-1"):
         fleet.wake(name)
     await settle(fleet)
@@ -197,20 +355,13 @@
 @scenario
 async def disks_fail(fleet: SimFleet) -> None:
     """Stalled, then full, then slow; always the leader's."""
-    name = fleet.leader()
-    disk = fleet.world.machine(name).disk
-    fleet.world.note(f"stalls the disk of {name}")
-    disk.isStalled = True
-    await fleet.apply(fleet.marked_description("a"))
-    await pause(fleet.world, 3 * SECOND)
-    disk.isStalled = False
-    name = fleet.leader()
-    disk = fleet.world.machine(name).disk
-    fleet.world.note(f"fills the disk of {name}")
-    disk.isFull = True
-    await fleet.apply(fleet.marked_description("b"))
-    await pause(fleet.world, 3 * SECOND)
-    disk.isFull = False
+    for mark, kind in (("a", "stalled"), ("b", "full")):
+        name = fleet.leader()
+        fleet.set_disk(name, kind, True)
+        await fleet.apply(fleet.marked_description(mark))
+        await settle(fleet)
+        fleet.set_disk(name, kind, False)
+        await pause(fleet.world, SECOND)
     for coreName in sorted(fleet.cores):
         fleet.world.machine(coreName).disk.slowness = 20
     await fleet.apply(fleet.marked_description("c"))
@@ -247,7 +398,7 @@
     names = [f"worker-{n + 1}" for n in range(fleet.workerCount - 2)]
     for name in names:
         fleet.kill(name)
-    await pause(fleet.world, 8 * SECOND)
+    await settle(fleet)
     for name in names:
         fleet.start(name)
     await settle(fleet)
@@ -256,7 +407,7 @@
 @scenario
 async def store_goes_and_comes_empty(fleet: SimFleet) -> None:
     fleet.kill("store")
-    await pause(fleet.world, 4 * SECOND)
+    await settle(fleet)
     fleet.start("store")
     await settle(fleet)
 
@@ -264,7 +415,7 @@
 @scenario
 async def bumps_race(fleet: SimFleet) -> None:
     """Many nodes bump the same parts while datagrams are lost and leaders change."""
-    fleet.world.castLoss, fleet.world.castDouble = 0.3, 0.2
+    fleet.set_cast_loss(0.3, 0.2)
     owner = f"tenant:{fleet.deployment.tenantNames[0]}"
     tasks = []
     for number in range(30):
@@ -281,7 +432,7 @@
     givenResults = [await t for t in tasks]
     if None in givenResults:
         fleet.ledger.breaches.append(f"{givenResults.count(None)} bumps were never answered")
-    fleet.world.castLoss = fleet.world.castDouble = 0.0
+    fleet.set_cast_loss(0.0)
     await settle(fleet)
 
 
@@ -313,8 +464,7 @@
     startMicros = fleet.world.now()
     fleet.start_burst(greedy, 300.0, fleet.deployment.longKind)
     await pause(fleet.world, 5 * SECOND)
-    assert fleet.burstTask is not None
-    fleet.burstTask.cancel()
+    fleet.end_bursts()
     endMicros = fleet.world.now()
     await settle(fleet)
     others = [
@@ -394,7 +544,6 @@
 async def seeds_swapped(fleet: SimFleet) -> None:
     """No original core is left; running nodes never notice, and a new node joins by the new seeds."""
     await disk_lost_after_yes(fleet)
-    fleet.ledger.heals.clear()
     fleet.add_node("node-10")
     await pause(fleet.world, 4 * SECOND)
     if not fleet.nodes["node-10"].keeper.is_current():
@@ -444,9 +593,7 @@
     await fleet.apply(fleet.marked_description("a"))
     left, *lost = [fleet.leader(), *(n for n in sorted(fleet.cores) if n != fleet.leader())]
     for name in lost:
-        fleet.kill(name, losesPower=True)
-        fleet.world.machine(name).disk.empty()
-        fleet.cores.pop(name)
+        fleet.lose_core(name)
     await pause(fleet.world, 3 * SECOND)
     fleet.kill(left)
     identity = fleet.cores[left].identity
@@ -494,9 +641,9 @@
             await fleet.name_weights(f"w{weightsNumber}")
             weightsNumber += 1
         else:
-            fleet.world.castLoss = chance.choice([0.0, 0.1, 0.3])
+            fleet.set_cast_loss(chance.choice([0.0, 0.1, 0.3]))
         await pause(fleet.world, chance.randrange(200 * MILLI, 3 * SECOND))
-    fleet.world.castLoss = 0.0
+    fleet.set_cast_loss(0.0)
     await settle(fleet)
 
 
--- a/src/pearhead/jig/sim/world.py
+++ b/src/pearhead/jig/sim/world.py
@@ -30,6 +30,8 @@
         self.chance = random.Random(world.chance.getrandbits(64))
         self.isAlive = False
         self.isFrozen = False
+        # A stopped process's kernel still takes connections for it; a stopped machine's does not.
+        self.kernelAnswers = True
         self.life = 0
         self.heldActions: list[Action] = []
         self.crew = Crew(name)
@@ -160,6 +162,8 @@
         self.machines: dict[str, Machine] = {}
         self.nets: dict[str, SimNet] = {}
         self.cuts: set[tuple[str, str]] = set()
+        # By node and purpose: what happens as a handshake of it is over, before the node hears of it.
+        self.connectTraps: dict[tuple[str, str], Callable[[Machine], None]] = {}
         self.castLoss = 0.0
         self.castDouble = 0.0
         self.lastArrivals: dict[tuple[str, str], int] = {}
--- a/src/pearhead/jig/standin.py
+++ b/src/pearhead/jig/standin.py
@@ -107,6 +107,18 @@
             self.finish({"error": refusal.why})
 
 
+class ClaimHandler(RequestHandler):
+    def initialize(self, model: WorkerModel) -> None:
+        self.model = model
+
+    async def post(self) -> None:
+        try:
+            self.finish(await self.model.claim(int(json.loads(self.request.body)["fence"])))
+        except WorkerRefusal as refusal:
+            self.set_status(refusal.status)
+            self.finish({"error": refusal.why})
+
+
 class EventsHandler(RequestHandler):
     def initialize(self, model: WorkerModel | StoreModel) -> None:
         self.model = model
@@ -180,6 +192,7 @@
         [
             ("/v1/completions", CompletionsHandler, {"model": worker}),
             ("/v1/load", LoadHandler, {"model": worker}),
+            ("/v1/claim", ClaimHandler, {"model": worker}),
             ("/v1/kv_events", EventsHandler, {"model": worker}),
             ("/v1/kv/(.+)", KeptHandler, {"model": worker}),
             ("/runs", RunsHandler, {"model": worker}),
--- a/src/pearhead/jig/workermodel.py
+++ b/src/pearhead/jig/workermodel.py
@@ -214,13 +214,21 @@
             self.log.tell("dropped", goneKey)
         await self.link.keep_in_store(key, kept)
 
-    async def load(self, fence: int, model: str) -> dict[str, Any]:
-        """Drains, loads, clears and confirms; an older fence is rejected."""
+    async def claim(self, fence: int) -> dict[str, Any]:
+        """A new holder shows its fence: from here on no older one commands."""
+        self._take_fence(fence, "")
+        return {"life": self.log.life, "fence": self.highestFence}
+
+    def _take_fence(self, fence: int, model: str) -> None:
         isTaken = fence >= self.highestFence
         self.commands.append((fence, model, isTaken))
         if not isTaken:
             raise WorkerRefusal(409, f"fence {fence} is older than {self.highestFence}")
         self.highestFence = fence
+
+    async def load(self, fence: int, model: str) -> dict[str, Any]:
+        """Drains, loads, clears and confirms; an older fence is rejected."""
+        self._take_fence(fence, model)
         while self.loadingModel:
             await rest(self.clock, 20 * MILLI)
         if fence < self.highestFence:
@@ -275,6 +283,7 @@
         self.clock = clock
         self.watch = watch
         self.runs: list[RunRecord] = []
+        self.lineMicros = 2 * MILLI
 
     async def run(self, request: dict[str, Any], upstreamId: str) -> AsyncGenerator[dict[str, Any], None]:
         record = RunRecord(upstreamId, request["user"], request["model"], request["model"], self.clock.now())
@@ -282,7 +291,7 @@
         self.watch(record)
         lineCount = expected_lines(request["prompt"])
         for lineNumber in range(lineCount):
-            await rest(self.clock, 2 * MILLI)
+            await rest(self.clock, self.lineMicros)
             yield {
                 "id": f"cmpl-{upstreamId}",
                 "choices": [{"text": expected_text(request["prompt"], lineNumber)}],
--- a/src/pearhead/lathe/admit.py
+++ b/src/pearhead/lathe/admit.py
@@ -5,6 +5,8 @@
 import asyncio
 import unittest
 from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
@@ -14,15 +16,29 @@
 from pearhead.lathe.job import Job
 
 SMOOTHING = 0.1
+# Ok(True): it may begin. Ok(False): its entry moved, and it queues anew. Err: it can't run any more.
+Turn = Result[bool, Refusal]
 
-Waiter = asyncio.Future[bool]
+
+@dataclass(eq=False)
+class _Waiter:
+    job: Job
+    turnFuture: asyncio.Future[Turn]
+
+    def settle(self, turn: Turn) -> None:
+        if not self.turnFuture.done():
+            self.turnFuture.set_result(turn)
+
+    def was_admitted(self) -> bool:
+        future = self.turnFuture
+        return future.done() and not future.cancelled() and future.result() == Ok(True)
 
 
 class _EntryQueue:
     def __init__(self) -> None:
         self.runningCount = 0
         self.runningByTenant: dict[str, int] = {}
-        self.waitersByTenant: OrderedDict[str, deque[Waiter]] = OrderedDict()
+        self.waitersByTenant: OrderedDict[str, deque[_Waiter]] = OrderedDict()
         self.waitingCount = 0
         self.meanMicros = 0.0
 
@@ -38,45 +54,56 @@
         self.clock = clock
         self.queues: dict[str, _EntryQueue] = {}
 
-    async def admit(self, job: Job) -> Result[None, Refusal]:
+    async def admit(self, job: Job) -> Turn:
         assert job.entry is not None and job.tenant is not None
         entry, tenantName = job.entry, job.tenant.name
         queue = self.queues.setdefault(entry.name, _EntryQueue())
         if queue.runningCount < entry.concurrency and not queue.waitingCount:
             self._begin(queue, tenantName)
-            return Ok(None)
+            return Ok(True)
+        waitMicros = int(queue.expected_wait(entry, tenantName))
         ownCount = len(queue.waitersByTenant.get(tenantName, ()))
         # A tenant may fill no more than its share of the queue, so that others find room.
         shareLimit = max(1, entry.queueLimit // max(2, len(queue.waitersByTenant)))
         if queue.waitingCount >= entry.queueLimit:
-            return Err(Refusal(ErrorKind.OVERLOADED, "the queue is full"))
+            return Err(Refusal(ErrorKind.OVERLOADED, "the queue is full", waitMicros))
         if ownCount >= shareLimit:
-            return Err(Refusal(ErrorKind.TENANT_BUSY, "the tenant's share of the queue is full"))
-        if queue.expected_wait(entry, tenantName) > job.left_micros(self.clock.now()):
+            return Err(Refusal(ErrorKind.TENANT_BUSY, "the tenant's share of the queue is full", waitMicros))
+        if waitMicros > job.left_micros(self.clock.now()):
             # Told at once: waiting to the deadline would only hide it (§8.3).
-            return Err(Refusal(ErrorKind.OVERLOADED, "its turn would come after its deadline"))
-        waiter: Waiter = asyncio.get_running_loop().create_future()
+            return Err(Refusal(ErrorKind.OVERLOADED, "its turn would come after its deadline", waitMicros))
+        waiter = _Waiter(job, asyncio.get_running_loop().create_future())
         queue.waitersByTenant.setdefault(tenantName, deque()).append(waiter)
         queue.waitingCount += 1
 
         def give_up() -> None:
-            if not waiter.done():
-                waiter.set_result(False)
+            ownWait = int(queue.expected_wait(entry, tenantName))
+            waiter.settle(Err(Refusal(ErrorKind.DEADLINE_PASSED, "waited for its turn to the deadline", ownWait)))
 
         deadlineTimer = self.clock.after(job.left_micros(self.clock.now()), give_up)
-        isAdmitted = False
+        isOver = False
         try:
-            isAdmitted = await waiter
+            turn = await waiter.turnFuture
+            isOver = True
+            return turn
         finally:
             deadlineTimer.cancel()
-            if not isAdmitted:
-                # Out of the queue before the refusal goes out, so that it never runs (§8.3).
-                self._forget(queue, tenantName, waiter)
-                if waiter.done() and not waiter.cancelled() and waiter.result():
-                    self.leave_place(entry, tenantName)
-        if not isAdmitted:
-            return Err(Refusal(ErrorKind.DEADLINE_PASSED, "waited for its turn to the deadline"))
-        return Ok(None)
+            # Out of the queue before the refusal goes out, so that it never runs (§8.3).
+            self._forget(queue, tenantName, waiter)
+            if not isOver and waiter.was_admitted():
+                self.leave_place(entry, tenantName)
+
+    def waiting_count(self) -> int:
+        return sum(queue.waitingCount for queue in self.queues.values())
+
+    def review(self, judge: Callable[[Job], Turn]) -> None:
+        """What waits and can't run any more gets its final answer now, not at its turn (§8.3)."""
+        for queue in self.queues.values():
+            for waiters in list(queue.waitersByTenant.values()):
+                for waiter in list(waiters):
+                    turn = judge(waiter.job)
+                    if turn != Ok(True):
+                        waiter.settle(turn)
 
     def leave_place(self, entry: CapabilityEntry, tenantName: str, heldMicros: int = 0) -> None:
         queue = self.queues[entry.name]
@@ -101,16 +128,16 @@
         queue.waitingCount -= 1
         if not queue.waitersByTenant[nextTenant]:
             del queue.waitersByTenant[nextTenant]
-        if not waiter.done():
+        if not waiter.turnFuture.done():
             self._begin(queue, nextTenant)
-            waiter.set_result(True)
+            waiter.settle(Ok(True))
         return True
 
     def _begin(self, queue: _EntryQueue, tenantName: str) -> None:
         queue.runningCount += 1
         queue.runningByTenant[tenantName] = queue.runningByTenant.get(tenantName, 0) + 1
 
-    def _forget(self, queue: _EntryQueue, tenantName: str, waiter: Waiter) -> None:
+    def _forget(self, queue: _EntryQueue, tenantName: str, waiter: _Waiter) -> None:
         tenantWaiters = queue.waitersByTenant.get(tenantName, deque())
         if waiter in tenantWaiters:
             tenantWaiters.remove(waiter)
@@ -133,10 +160,10 @@
             request = WrittenJob("l", "k", "b")
             return Job(request, "j", 0, View(), 2**62, Tenant(tenantName, []), entry)
 
-        async def run_all() -> list[Result[None, Refusal]]:
+        async def run_all() -> list[Turn]:
             admission = Admission(BootClock())
 
-            async def run(tenantName: str) -> Result[None, Refusal]:
+            async def run(tenantName: str) -> Turn:
                 admitted = await admission.admit(make_job(tenantName))
                 if not isinstance(admitted, Err):
                     order.append(tenantName)
--- a/src/pearhead/lathe/carry.py
+++ b/src/pearhead/lathe/carry.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 NOT_SENT = "not_sent"
+WITHDRAWN = "withdrawn"
 REFUSED = "refused"
 CUT = "cut"
 
 
 class CarryFault(Exception):
-    """`not_sent`: no byte left. `refused`: the back end says it did not run. `cut`: all else."""
+    """`not_sent`: no connection. `withdrawn`: connected, and then the last check said no; no byte left.
+    `refused`: the back end says it did not run. `cut`: all else."""
 
     def __init__(self, stage: str, detail: str) -> None:
         super().__init__(f"{stage}: {detail}")
@@ -39,9 +41,18 @@
         }
 
 
+# The last check (§8.4): whether a job may still begin, asked when the connection stands.
+MayBegin = Callable[[], bool]
+
+
 class Carrier(Protocol):
-    def carry(self, workerAddress: str, upstreamJob: UpstreamJob) -> AsyncGenerator[dict[str, Any], None]:
-        """Yields each event of the stream; ends only if the back end closed it; raises CarryFault."""
+    def carry(
+        self, workerAddress: str, upstreamJob: UpstreamJob, mayBegin: MayBegin
+    ) -> AsyncGenerator[dict[str, Any], None]:
+        """Connects, asks `mayBegin` in one step with the first byte, then yields each event of the stream.
+
+        Ends only if the back end closed it whole; raises CarryFault.
+        """
 
 
 class Pen(Protocol):
--- a/src/pearhead/lathe/errors.py
+++ b/src/pearhead/lathe/errors.py
@@ -6,6 +6,8 @@
 import unittest
 from dataclasses import dataclass
 
+from pearhead.awl.clock import SECOND
+
 
 class ErrorKind(enum.Enum):
     MALFORMED = "malformed"
@@ -42,11 +44,11 @@
     ErrorKind.UNKNOWN_MODEL: ErrorResult(404, NOT_RUN, 0),
     ErrorKind.UNKNOWN_KIND: ErrorResult(404, NOT_RUN, 0),
     ErrorKind.TOO_LARGE: ErrorResult(413, NOT_RUN, 0),
-    ErrorKind.DEADLINE_PASSED: ErrorResult(408, NOT_RUN, 0),
+    ErrorKind.DEADLINE_PASSED: ErrorResult(408, NOT_RUN, 1),
     ErrorKind.TENANT_BUSY: ErrorResult(429, NOT_RUN, 1),
     ErrorKind.OVERLOADED: ErrorResult(503, NOT_RUN, 1),
     ErrorKind.NO_WORKER: ErrorResult(503, NOT_RUN, 1),
-    ErrorKind.NOT_CURRENT: ErrorResult(503, NOT_RUN, 2),
+    ErrorKind.NOT_CURRENT: ErrorResult(503, NOT_RUN, 1),
     ErrorKind.DRAINING: ErrorResult(503, NOT_RUN, 1),
     ErrorKind.OUTCOME_UNKNOWN: ErrorResult(502, UNKNOWN, 0),
 }
@@ -54,8 +56,15 @@
 
 @dataclass(frozen=True)
 class Refusal:
+    """`comeBackMicros` is what is known of when it would run; the table's value is the least that is told."""
+
     kind: ErrorKind
     detail: str = ""
+    comeBackMicros: int = 0
+
+    def come_back_seconds(self) -> int:
+        leastSeconds = ERROR_TABLE[self.kind].comeBackSeconds
+        return max(leastSeconds, -(-self.comeBackMicros // SECOND)) if leastSeconds else 0
 
 
 class ErrorTableTest(unittest.TestCase):
@@ -63,3 +72,8 @@
         self.assertEqual(set(ERROR_TABLE), set(ErrorKind))
         unsure = [kind for kind, givenResult in ERROR_TABLE.items() if givenResult.ran != NOT_RUN]
         self.assertEqual(unsure, [ErrorKind.OUTCOME_UNKNOWN])
+
+    def test_a_refusal_says_when_to_come_back_in_whole_seconds(self) -> None:
+        self.assertEqual(Refusal(ErrorKind.OVERLOADED, "", 2_000_001).come_back_seconds(), 3)
+        self.assertEqual(Refusal(ErrorKind.OVERLOADED).come_back_seconds(), 1)
+        self.assertEqual(Refusal(ErrorKind.BAD_KEY, "", 2_000_001).come_back_seconds(), 0, "never")
--- a/src/pearhead/lathe/front.py
+++ b/src/pearhead/lathe/front.py
@@ -75,8 +75,8 @@
     def _refuse(self, refusal: Refusal) -> None:
         givenResult = ERROR_TABLE[refusal.kind]
         self.set_status(givenResult.status)
-        if givenResult.comeBackSeconds:
-            self.set_header("Retry-After", str(givenResult.comeBackSeconds))
+        if refusal.come_back_seconds():
+            self.set_header("Retry-After", str(refusal.come_back_seconds()))
         self.finish({"error": refusal.kind.value, "ran": givenResult.ran, "detail": refusal.detail})
 
     def _abort(self) -> None:
--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -18,6 +18,7 @@
 from pearhead.awl.directory import Directory
 from pearhead.awl.view import View, WorkerFact
 from pearhead.awl.wire_pb2 import Command, CommandAsk, CommandResult, CopyNote, PurgeNote
+from pearhead.lathe.carry import MayBegin
 from pearhead.lathe.index import CopyIndex
 from pearhead.lathe.term import TermKeeper
 from pearhead.lathe.wave import SPREAD_MICROS, WAVE_MICROS, first_wave, is_wave_serving
@@ -38,8 +39,10 @@
 class WorkerLink(Protocol):
     """Commands and reports of one worker or store, over its own published edge."""
 
+    async def claim(self, address: str, fence: int, mayBegin: MayBegin) -> Result[dict[str, Any], str]: ...
+
     async def load(
-        self, address: str, fence: int, line: str, weights: str, limitMicros: int
+        self, address: str, fence: int, line: str, weights: str, limitMicros: int, mayBegin: MayBegin
     ) -> Result[dict[str, Any], str]: ...
 
     async def events(self, address: str, life: str, after: int) -> Result[dict[str, Any], str]: ...
@@ -51,6 +54,7 @@
     validUntil: int
     renewAt: int
     isBusy: bool = False
+    claimedLife: str = ""
 
 
 @dataclass
@@ -137,11 +141,12 @@
             result = await self._command(command)
             if result is not None and result.status == "done":
                 fence = int(json.loads(result.body)["fence"])
-                isBusy = self.holds[name].isBusy if name in self.holds else False
+                held = self.holds.get(name)
                 # The term counts from before it was asked for, and ends early (§7.2).
                 self.holds[name] = _Hold(
                     fence, askedMicros + self.holdMicros - MARGIN_MICROS,
-                    askedMicros + self.holdMicros // 3, isBusy,
+                    askedMicros + self.holdMicros // 3, held is not None and held.isBusy,
+                    held.claimedLife if held is not None and held.fence == fence else "",
                 )
             elif result is not None and result.status in ("held", "refused"):
                 self.holds.pop(name, None)
@@ -172,6 +177,11 @@
             self.crew.start(self._gather(worker, report))
         if hold.isBusy or self._service_role(view, worker) != "model":
             return
+        if not hold.claimedLife or hold.claimedLife != (report.life or hold.claimedLife):
+            # New here, or the worker started again and knows of no fence.
+            hold.isBusy = True
+            self.crew.start(self._claim(worker, hold.fence))
+            return
         line = next((e.line for e in view.description.entries if e.service == worker.service), "")
         present = view.weights.get(line)
         if present is None or not report.life:
@@ -188,6 +198,22 @@
         hold.isBusy = True
         self.crew.start(self._load(worker, hold.fence, line, present.weights, present.revision))
 
+    def _is_within_term(self, name: str, fence: int) -> bool:
+        """The last check before a command leaves, in one step with it (§7.2)."""
+        hold = self.holds.get(name)
+        return hold is not None and hold.fence == fence and self.clock.now() < hold.validUntil
+
+    async def _claim(self, worker: WorkerFact, fence: int) -> None:
+        """Before all else a new holder shows its fence, so that no late command of an older one counts (§7.2)."""
+        claimed = await self.link.claim(worker.address, fence, lambda: self._is_within_term(worker.name, fence))
+        if isinstance(claimed, Err):
+            await rest(self.clock, POLL_MICROS)
+        hold = self.holds.get(worker.name)
+        if hold is not None:
+            hold.isBusy = False
+            if hold.fence == fence and not isinstance(claimed, Err):
+                hold.claimedLife = claimed.ok_value["life"]
+
     def _may_begin(self, view: View, worker: WorkerFact, line: str, revision: int) -> bool:
         """Two waves: the first half at once, the rest when that half serves or is late (§7.3)."""
         sinceMicros = self.clock.now() - self.keeper.firstSeen.get((line, revision), 0)
@@ -204,7 +230,10 @@
     async def _load(self, worker: WorkerFact, fence: int, line: str, weights: str, revision: int) -> None:
         try:
             LOGGER.info("lathe: Loads %s on %s with fence %d.", weights, worker.name, fence)
-            loaded = await self.link.load(worker.address, fence, line, weights, LOAD_LIMIT_MICROS)
+            loaded = await self.link.load(
+                worker.address, fence, line, weights, LOAD_LIMIT_MICROS,
+                lambda: self._is_within_term(worker.name, fence),
+            )
             if isinstance(loaded, Err):
                 LOGGER.warning("lathe: %s did not load: %s", worker.name, loaded.err_value)
                 await rest(self.clock, POLL_MICROS)
--- a/src/pearhead/lathe/job.py
+++ b/src/pearhead/lathe/job.py
@@ -39,6 +39,7 @@
 class Placement:
     worker: WorkerFact
     weightsName: str = ""
+    weightsRevision: int = 0
     salt: str = ""
     keys: list[str] = field(default_factory=list)
     reusedParts: int = 0
@@ -47,6 +48,7 @@
     fetchParts: int = 0
     fetchLimitMicros: int = 0
     why: str = ""
+    wasWithdrawn: bool = False
 
 
 @dataclass
@@ -58,6 +60,7 @@
     deadlineMicros: int = 0
     tenant: Tenant | None = None
     entry: CapabilityEntry | None = None
+    keyHash: str = ""
     mayHaveRun: bool = False
     triedWorkers: set[str] = field(default_factory=set)
 
--- a/src/pearhead/lathe/node.py
+++ b/src/pearhead/lathe/node.py
@@ -6,7 +6,6 @@
 import hashlib
 import random
 from collections import deque
-from collections.abc import Callable
 from contextlib import aclosing
 from typing import Any
 
@@ -20,9 +19,9 @@
 from pearhead.awl.net import Net
 from pearhead.awl.startup import Startup
 from pearhead.awl.wire_pb2 import Record
-from pearhead.lathe.admit import Admission
+from pearhead.lathe.admit import Admission, Turn
 from pearhead.lathe.budget import RetryBudget
-from pearhead.lathe.carry import CUT, Carrier, CarryFault, Pen, PenGone, UpstreamJob
+from pearhead.lathe.carry import CUT, WITHDRAWN, Carrier, CarryFault, Pen, PenGone, UpstreamJob
 from pearhead.lathe.errors import ErrorKind, Refusal
 from pearhead.lathe.holder import HolderController, WorkerLink
 from pearhead.lathe.index import CopyIndex
@@ -35,6 +34,7 @@
 TRY_LIMIT = 3
 PLACEMENTS_KEPT = 200
 OPEN_MICROS = 10 * SECOND
+REVIEW_MICROS = 50 * MILLI
 
 
 class NodeProcess:
@@ -74,7 +74,6 @@
         self.holder.soundnessWatcher = self.nominator.take_unsound
         self.isDraining = False
         self.isOpen = False
-        self.watch: Callable[[Job], None] = lambda job: None
         self.openJobs = 0
         self.placements: deque[dict[str, Any]] = deque(maxlen=PLACEMENTS_KEPT)
         self.outcomeCounts: dict[str, int] = {}
@@ -82,7 +81,9 @@
         self.prefixTokens = 0
 
     def start(self) -> None:
-        for work in (self.directory.run(), self.keeper.run(), self.listener.run(), self.holder.run()):
+        for work in (
+            self.directory.run(), self.keeper.run(), self.listener.run(), self.holder.run(), self._review_queues()
+        ):
             self.crew.start(work)
         LOGGER.info("lathe: Node %s listens on %s.", self.identity[:8], self.startup.address)
 
@@ -128,44 +129,50 @@
         return outcome
 
     async def _run_stages(self, keyText: str, job: Job, pen: Pen) -> Result[None, Refusal]:
+        if self.isDraining:
+            return Err(Refusal(ErrorKind.DRAINING, "this node takes no new jobs"))
+        job.keyHash = hashlib.sha256(keyText.encode()).hexdigest()
+        looked = self._look(job)
+        while not isinstance(looked, Err):
+            # From here on a drain waits for it; it waits for its turn, and is then looked at again (§8.3).
+            assert job.entry is not None and job.tenant is not None
+            placeEntry, placeTenant = job.entry, job.tenant
+            admitted = await self.admission.admit(job)
+            if isinstance(admitted, Err):
+                return admitted
+            if admitted.ok_value:
+                admittedMicros = self.clock.now()
+                try:
+                    looked = self._look(job)
+                    if isinstance(looked, Err) or job.entry.name == placeEntry.name:
+                        return looked if isinstance(looked, Err) else await self._nominate_and_carry(job, pen)
+                finally:
+                    heldMicros = self.clock.now() - admittedMicros
+                    self.admission.leave_place(placeEntry, placeTenant.name, heldMicros)
+            # Its entry moved while it waited: it queues where it belongs now.
+            looked = self._look(job)
+        return looked
+
+    def _look(self, job: Job) -> Result[None, Refusal]:
+        """Term, key and entry, by what is in force now; asked anew after each wait (§5.3, §8.1)."""
         current = self._check_current(job)
         if isinstance(current, Err):
             return current
-        authenticated = self._authenticate(keyText, job)
+        authenticated = self._authenticate(job)
         if isinstance(authenticated, Err):
             return authenticated
-        matched = self._match(job)
-        if isinstance(matched, Err):
-            return matched
-        admitted = await self.admission.admit(job)
-        if isinstance(admitted, Err):
-            return admitted
-        assert job.entry is not None and job.tenant is not None
-        admittedMicros = self.clock.now()
-        try:
-            # Waiting may have taken long: key, entry and view are looked at again (§8.3).
-            for check in (self._check_current(job), self._authenticate(keyText, job)):
-                if isinstance(check, Err):
-                    return check
-            self.watch(job)
-            carried = await self._nominate_and_carry(job, pen)
-            if isinstance(carried, Err) and job.mayHaveRun:
-                # Whatever stopped a later try: the first may have run, so this is no refusal (§8.2).
-                return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, carried.err_value.detail))
-            return carried
-        finally:
-            self.admission.leave_place(job.entry, job.tenant.name, self.clock.now() - admittedMicros)
+        return self._match(job)
 
     def _check_current(self, job: Job) -> Result[None, Refusal]:
-        if self.isDraining:
-            return Err(Refusal(ErrorKind.DRAINING, "this node takes no new jobs"))
         if not self.keeper.is_current():
-            return Err(Refusal(ErrorKind.NOT_CURRENT, "this node can't tell that its view is current"))
+            return Err(Refusal(
+                ErrorKind.NOT_CURRENT, "this node can't tell that its view is current", self.keeper.come_back_micros()
+            ))
         job.view = self.keeper.view
         return Ok(None)
 
-    def _authenticate(self, keyText: str, job: Job) -> Result[None, Refusal]:
-        tenant = job.view.tenantByHash.get(hashlib.sha256(keyText.encode()).hexdigest())
+    def _authenticate(self, job: Job) -> Result[None, Refusal]:
+        tenant = job.view.tenantByHash.get(job.keyHash)
         if tenant is None:
             return Err(Refusal(ErrorKind.BAD_KEY, "no tenant has this key"))
         job.tenant = tenant
@@ -178,28 +185,70 @@
             return Err(Refusal(ErrorKind.UNKNOWN_MODEL, f"no model {request.model!r}"))
         if len(request.prefix) > job.view.description.limits.prefixParts:
             return Err(Refusal(ErrorKind.TOO_LARGE, "too many prefix parts"))
-        job.entry = job.view.match(request.model, job.tenant.name, request.kind)
-        if job.entry is None:
+        matched = job.view.match(request.model, job.tenant.name, request.kind)
+        if matched is None:
             isKnown = any(k == request.kind for _, _, k in job.view.entryByMatch)
             kind = ErrorKind.NOT_ENTITLED if isKnown else ErrorKind.UNKNOWN_KIND
             return Err(Refusal(kind, f"no entry for {request.model} {request.kind}"))
-        wantedMicros = request.deadlineMicros or job.entry.deadlineMicros
-        job.deadlineMicros = job.arrivedMicros + min(wantedMicros, job.entry.deadlineMicros)
+        job.entry = matched
+        if not job.deadlineMicros:
+            # What was promised first stays: a later description does not shorten it.
+            wantedMicros = request.deadlineMicros or matched.deadlineMicros
+            job.deadlineMicros = job.arrivedMicros + min(wantedMicros, matched.deadlineMicros)
         return Ok(None)
 
+    async def _review_queues(self) -> None:
+        """Jobs that wait and can't run any more are told so when the view or the term says it (§8.3)."""
+        reviewedView = self.keeper.view
+        while True:
+            await rest(self.clock, REVIEW_MICROS)
+            isSame = self.keeper.view is reviewedView and self.keeper.is_current()
+            if self.admission.waiting_count() and not isSame:
+                self.admission.review(self._judge_waiting)
+            reviewedView = self.keeper.view
+
+    def _judge_waiting(self, job: Job) -> Turn:
+        assert job.entry is not None
+        queuedName = job.entry.name
+        looked = self._look(job)
+        return looked if isinstance(looked, Err) else Ok(job.entry.name == queuedName)
+
+    def _may_begin(self, job: Job, placement: Placement) -> bool:
+        """The last check, in one step with the first byte: nothing of it may have gone meanwhile (§8.4)."""
+        view = self.keeper.view
+        return (
+            self.keeper.is_current() and job.left_micros(self.clock.now()) > 0
+            and (view is job.view or (
+                view.tenantByHash.get(job.keyHash) == job.tenant and job.tenant is not None
+                and view.match(job.request.model, job.tenant.name, job.request.kind) == job.entry
+            ))
+            and self.nominator.stands(job, placement)
+        )
+
     async def _nominate_and_carry(self, job: Job, pen: Pen) -> Result[None, Refusal]:
+        carried = await self._try_on(job, pen)
+        if isinstance(carried, Err) and job.mayHaveRun:
+            # Whatever stopped a later try: the first may have run, so this is no refusal (§8.2).
+            return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, carried.err_value.detail))
+        return carried
+
+    async def _try_on(self, job: Job, pen: Pen) -> Result[None, Refusal]:
         assert job.entry is not None
-        share = job.view.description.limits.retryShare
-        self.budget.pay_in(job.entry.service, share)
+        self.budget.pay_in(job.entry.service, job.view.description.limits.retryShare)
         lastRefusal = Refusal(ErrorKind.NO_WORKER, "no worker took the job")
+        isRetry = False
         for tryNumber in range(TRY_LIMIT):
+            if tryNumber:
+                looked = self._look(job)
+                if isinstance(looked, Err):
+                    return looked
             if job.left_micros(self.clock.now()) <= 0:
                 return Err(Refusal(ErrorKind.DEADLINE_PASSED, "the deadline passed before it ran"))
-            if tryNumber and not self.budget.take_out(job.entry.service):
+            if isRetry and not self.budget.take_out(job.entry.service):
                 return Err(lastRefusal)
             nominated = self.nominator.nominate(job)
             if isinstance(nominated, Err):
-                return Err(lastRefusal if tryNumber else nominated.err_value)
+                return Err(lastRefusal if isRetry else nominated.err_value)
             placement = nominated.ok_value
             carried = await self._carry(job, placement, pen, tryNumber)
             if not isinstance(carried, Err):
@@ -207,7 +256,10 @@
             lastRefusal = carried.err_value
             if lastRefusal.kind is not ErrorKind.NO_WORKER:
                 return carried
-            job.triedWorkers.add(placement.worker.name)
+            # A placement that was withdrawn before a byte left took nothing from its service.
+            isRetry = isRetry or not placement.wasWithdrawn
+            if not placement.wasWithdrawn:
+                job.triedWorkers.add(placement.worker.name)
         return Err(lastRefusal)
 
     async def _carry(self, job: Job, placement: Placement, pen: Pen, tryNumber: int) -> Result[None, Refusal]:
@@ -237,7 +289,9 @@
         isPrefilling = True
         self.nominator.begin(worker.name, placement.missedTokens)
         try:
-            async with aclosing(self.carrier.carry(worker.address, upstreamJob)) as events:
+            async with aclosing(self.carrier.carry(
+                worker.address, upstreamJob, lambda: self._may_begin(job, placement)
+            )) as events:
                 async for event in events:
                     if isPrefilling:
                         isPrefilling = False
@@ -254,6 +308,9 @@
             raise CarryFault(CUT, "the stream ended without its closing line")
         except CarryFault as fault:
             LOGGER.info("lathe: Job %s at %s: %s", job.jobId, worker.name, fault)
+            if fault.stage == WITHDRAWN:
+                placement.wasWithdrawn = True
+                return Err(Refusal(ErrorKind.NO_WORKER, fault.detail))
             if fault.stage != CUT:
                 self.nominator.take_fault(worker.name)
                 return Err(Refusal(ErrorKind.NO_WORKER, fault.detail))
--- a/src/pearhead/lathe/nominate.py
+++ b/src/pearhead/lathe/nominate.py
@@ -58,7 +58,9 @@
         isModel = self.is_model(view, job.entry.service)
         candidates = self._candidates(view, job, isModel)
         if not candidates:
-            return Err(Refusal(ErrorKind.NO_WORKER, f"no sound worker of {job.entry.service}"))
+            return Err(Refusal(
+                ErrorKind.NO_WORKER, f"no sound worker of {job.entry.service}", self._rest_micros(view, job)
+            ))
         if not isModel:
             chosenWorker = min(candidates, key=lambda w: (self.runningCounts.get(w.name, 0), w.name))
             return Ok(Placement(chosenWorker, why="fewest running"))
@@ -66,9 +68,27 @@
         aheadTokens = self.waiting_of(placement.worker.name) + placement.missedTokens
         if aheadTokens * PREFILL_MICROS_A_TOKEN > job.left_micros(self.clock.now()):
             # Refused while it has not run: sent, it would be cut at its deadline (§8.5).
-            return Err(Refusal(ErrorKind.OVERLOADED, "no worker would begin it before its deadline"))
+            return Err(Refusal(
+                ErrorKind.OVERLOADED, "no worker would begin it before its deadline",
+                int(aheadTokens * PREFILL_MICROS_A_TOKEN - job.left_micros(self.clock.now())),
+            ))
         return Ok(placement)
 
+    def stands(self, job: Job, placement: Placement) -> bool:
+        """Whether this very placement could still be nominated, by what is known now (§8.4)."""
+        assert job.entry is not None
+        view = self.keeper.view
+        worker = view.workers.get(placement.worker.name)
+        if worker is None or worker != placement.worker:
+            return False
+        if not placement.weightsName:
+            return True
+        load = view.loads.get(worker.name)
+        return (
+            load is not None and load.weightsRevision == placement.weightsRevision
+            and self.weights_allowed(view, job.entry.line, worker.name)
+        )
+
     def is_model(self, view: View, service: str) -> bool:
         return view.roleByService.get(service) == "model"
 
@@ -127,6 +147,16 @@
         # What a holder told may be its own trouble: it decides only while others are left (§7.5).
         return [w for w in soundOnes if self.toldUnsoundUntil.get(w.name, 0) <= nowMicros] or soundOnes
 
+    def _rest_micros(self, view: View, job: Job) -> int:
+        """When the first resting worker is tried again; a roll-out's wave, where none is loaded (§8.2)."""
+        assert job.entry is not None
+        nowMicros = self.clock.now()
+        rests = [
+            until - nowMicros for name, until in self.unsoundUntil.items()
+            if until > nowMicros and name in view.workers and view.workers[name].service == job.entry.service
+        ]
+        return min(rests, default=WAVE_MICROS)
+
     def weights_allowed(self, view: View, line: str, worker: str) -> bool:
         """Present weights always; older ones only for a while after a roll-out is seen (§7.4)."""
         load, present = view.loads.get(worker), view.weights.get(line)
@@ -186,7 +216,7 @@
         # With nothing known to be current, the salt is the job's own: nothing can be reused.
         salt = cache_salt(owner, line, chosenLoad.weightsRevision) if keys else f"job:{job.jobId}"
         placement = Placement(
-            chosenWorker, chosenLoad.weights, salt, keys, keptCounts[chosenWorker.name],
+            chosenWorker, chosenLoad.weights, chosenLoad.weightsRevision, salt, keys, keptCounts[chosenWorker.name],
             sum(tokens[keptCounts[chosenWorker.name] :]),
             why=f"keeps {keptCounts[chosenWorker.name]} of {len(parts)} parts",
         )
--- a/src/pearhead/lathe/term.py
+++ b/src/pearhead/lathe/term.py
@@ -7,7 +7,7 @@
 import picologging
 from result import Err
 
-from pearhead.awl.clock import MILLI, Clock, rest
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
 from pearhead.awl.courier import Courier
 from pearhead.awl.crew import Crew
 from pearhead.awl.directory import Directory
@@ -19,6 +19,7 @@
 RESULT_MICROS = 800 * MILLI
 RELAY_AFTER_MICROS = 700 * MILLI
 RELAY_COUNT = 2
+COME_BACK_LIMIT_MICROS = 12 * SECOND
 NEVER = -1
 NO_DELTA = 2**62
 
@@ -48,6 +49,11 @@
     def is_current(self) -> bool:
         return self.currentAt != NEVER and self.clock.now() - self.currentAt <= self.termMicros
 
+    def come_back_micros(self) -> int:
+        """A node that has been out for long is likely to be out as long again; within bounds (§8.2)."""
+        outMicros = self.clock.now() - self.currentAt if self.currentAt != NEVER else 0
+        return min(max(outMicros, ROUND_MICROS + RESULT_MICROS), COME_BACK_LIMIT_MICROS)
+
     def core_addresses(self) -> list[str]:
         known = [m.address for m in self.members.member if m.voter]
         return known or [r.address for r in self.directory.members("anvil")]
--- a/src/pearhead/lathe/tornadocarrier.py
+++ b/src/pearhead/lathe/tornadocarrier.py
@@ -16,7 +16,7 @@
 
 from pearhead.awl.clock import SECOND
 from pearhead.awl.socketnet import split_address
-from pearhead.lathe.carry import CUT, NOT_SENT, REFUSED, CarryFault, UpstreamJob
+from pearhead.lathe.carry import CUT, NOT_SENT, REFUSED, WITHDRAWN, CarryFault, MayBegin, UpstreamJob
 
 CONNECT_SECONDS = 1.0
 LINE_LIMIT = 1024 * 1024
@@ -46,7 +46,9 @@
     def __init__(self) -> None:
         self.tcpClient = TCPClient()
 
-    async def carry(self, workerAddress: str, upstreamJob: UpstreamJob) -> AsyncGenerator[dict[str, Any], None]:
+    async def carry(
+        self, workerAddress: str, upstreamJob: UpstreamJob, mayBegin: MayBegin
+    ) -> AsyncGenerator[dict[str, Any], None]:
         limitSeconds = upstreamJob.limitMicros / SECOND
         eventLoop = asyncio.get_running_loop()
         endSeconds = eventLoop.time() + limitSeconds
@@ -70,6 +72,9 @@
                 "Content-Length": str(len(bodyBytes)), "X-Request-Id": upstreamJob.upstreamId,
             })
             startLine = RequestStartLine("POST", "/v1/completions", "HTTP/1.1")
+            if not mayBegin():
+                raise CarryFault(WITHDRAWN, "it may not begin any more")
+            # No await stands between the check and the first byte.
             connection.write_headers(startLine, headers, bodyBytes)
             connection.finish()
             readTask = asyncio.ensure_future(self._read(connection, delegate))
@@ -131,16 +136,71 @@
         raise CarryFault(REFUSED, f"status {delegate.status}: {bodyBytes[:200]!r}")
 
 
+class _ReplyDelegate(HTTPMessageDelegate):
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+        self.isWhole = False
+
+    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
+        self.status = start_line.code
+
+    def data_received(self, chunk: bytes) -> None:
+        self.body += chunk
+
+    def finish(self) -> None:
+        self.isWhole = True
+
+
 class TornadoWorkerLink:
+    def __init__(self) -> None:
+        self.tcpClient = TCPClient()
+
+    async def claim(self, address: str, fence: int, mayBegin: MayBegin) -> Result[dict[str, Any], str]:
+        return await self._command(address, "/v1/claim", {"fence": fence}, ("life", "fence"), SECOND, mayBegin)
+
     async def load(
-        self, address: str, fence: int, line: str, weights: str, limitMicros: int
+        self, address: str, fence: int, line: str, weights: str, limitMicros: int, mayBegin: MayBegin
     ) -> Result[dict[str, Any], str]:
-        body = json.dumps({"fence": fence, "model": f"{line}@{weights}"})
-        request = HTTPRequest(
-            f"http://{address}/v1/load", method="POST", body=body, follow_redirects=False,
-            request_timeout=limitMicros / SECOND, connect_timeout=CONNECT_SECONDS,
-        )
-        return await self._fetch(request, ("life", "sequence"))
+        body = {"fence": fence, "model": f"{line}@{weights}"}
+        return await self._command(address, "/v1/load", body, ("life", "sequence"), limitMicros, mayBegin)
+
+    async def _command(
+        self, address: str, path: str, body: dict[str, Any], wantedNames: tuple[str, ...], limitMicros: int,
+        mayBegin: MayBegin,
+    ) -> Result[dict[str, Any], str]:
+        """As a job's way: connect, ask whether the term still holds, send in the same step (§7.2)."""
+        try:
+            async with asyncio.timeout(limitMicros / SECOND):
+                stream = await asyncio.wait_for(
+                    self.tcpClient.connect(*split_address(address)), CONNECT_SECONDS
+                )
+                try:
+                    return await self._send_command(stream, address, path, body, wantedNames, mayBegin)
+                finally:
+                    stream.close()
+        except (OSError, StreamClosedError, TimeoutError, ValueError) as fault:
+            return Err(repr(fault))
+
+    async def _send_command(
+        self, stream: IOStream, address: str, path: str, body: dict[str, Any], wantedNames: tuple[str, ...],
+        mayBegin: MayBegin,
+    ) -> Result[dict[str, Any], str]:
+        connection = HTTP1Connection(stream, True, HTTP1ConnectionParameters(no_keep_alive=True))
+        bodyBytes = json.dumps(body).encode()
+        headers = HTTPHeaders({
+            "Host": address, "Content-Type": "application/json", "Connection": "close",
+            "Content-Length": str(len(bodyBytes)),
+        })
+        if not mayBegin():
+            return Err("not within its term any more")
+        connection.write_headers(RequestStartLine("POST", path, "HTTP/1.1"), headers, bodyBytes)
+        connection.finish()
+        delegate = _ReplyDelegate()
+        await connection.read_response(delegate)
+        if not delegate.isWhole or delegate.status != 200:
+            return Err(f"status {delegate.status}: {delegate.body[:200]!r}")
+        return self._read(delegate.body, wantedNames)
 
     async def events(self, address: str, life: str, after: int) -> Result[dict[str, Any], str]:
         request = HTTPRequest(
@@ -152,9 +212,12 @@
     async def _fetch(self, request: HTTPRequest, wantedNames: tuple[str, ...]) -> Result[dict[str, Any], str]:
         try:
             response = await AsyncHTTPClient().fetch(request)
-            data = json.loads(response.body)
+            return self._read(response.body, wantedNames)
         except (HTTPClientError, OSError, ValueError) as fault:
             return Err(repr(fault))
+
+    def _read(self, bodyBytes: bytes, wantedNames: tuple[str, ...]) -> Result[dict[str, Any], str]:
+        data = json.loads(bodyBytes)
         if not isinstance(data, dict) or any(name not in data for name in wantedNames):
             return Err("an unreadable answer")
         return Ok(data)
--- a/tests/test_carrier.py
+++ b/tests/test_carrier.py
@@ -7,7 +7,7 @@
 from contextlib import aclosing
 from typing import Any
 
-from pearhead.lathe.carry import CUT, NOT_SENT, REFUSED, CarryFault, UpstreamJob
+from pearhead.lathe.carry import CUT, NOT_SENT, REFUSED, WITHDRAWN, CarryFault, UpstreamJob
 from pearhead.lathe.tornadocarrier import TornadoCarrier
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -18,6 +18,9 @@
 
 
 class TornadoCarrierTest(unittest.IsolatedAsyncioTestCase):
+    isAllowed = True
+    checkedCount = 0
+
     async def serve(self, response: bytes, staysOpen: bool = False) -> str:
         self.requests: list[bytes] = []
         self.gone = asyncio.Event()
@@ -36,12 +39,16 @@
         self.addAsyncCleanup(self.close, server)
         return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
+    def mayBegin(self) -> bool:
+        self.checkedCount += 1
+        return self.isAllowed
+
     async def close(self, server: asyncio.Server) -> None:
         server.close()
 
     async def carry(self, address: str, limitMicros: int = 5_000_000) -> list[dict[str, Any]]:
         upstreamJob = UpstreamJob("u", "m", "b", "s", "t", limitMicros=limitMicros)
-        async with aclosing(TornadoCarrier().carry(address, upstreamJob)) as events:
+        async with aclosing(TornadoCarrier().carry(address, upstreamJob, self.mayBegin)) as events:
             return [event async for event in events]
 
     async def stage(self, address: str, limitMicros: int = 5_000_000) -> str:
@@ -64,6 +71,22 @@
         await server.wait_closed()
         self.assertEqual(await self.stage(f"127.0.0.1:{portNumber}"), NOT_SENT)
 
+    async def test_a_job_withdrawn_while_it_connects_sends_no_byte(self) -> None:
+        self.received = b""
+
+        async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.received += await reader.read(2**16)
+            writer.close()
+            over.set()
+
+        over = asyncio.Event()
+        server = await asyncio.start_server(take, "127.0.0.1", 0)
+        self.addAsyncCleanup(self.close, server)
+        self.isAllowed = False
+        stage = await self.stage(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        await asyncio.wait_for(over.wait(), 10)
+        self.assertEqual((stage, self.received, self.checkedCount), (WITHDRAWN, b"", 1))
+
     async def test_only_documented_refusals_say_that_it_did_not_run(self) -> None:
         for status, wanted in ((404, REFUSED), (429, REFUSED), (503, REFUSED), (500, CUT), (302, CUT), (400, CUT)):
             head = f"HTTP/1.1 {status} X\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 2\r\n\r\n{{}}"
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -20,7 +20,7 @@
 from pearhead.awl.startup import Startup
 from pearhead.awl.view import ENTRY_SECTIONS, View
 from pearhead.jig.deployment import ACADEMY, build_description, tenant_key
-from pearhead.lathe.carry import CUT, CarryFault, UpstreamJob
+from pearhead.lathe.carry import CUT, CarryFault, MayBegin, UpstreamJob
 from pearhead.lathe.front import HandlerPen, build_front
 from pearhead.lathe.node import NodeProcess
 
@@ -38,7 +38,9 @@
         self.startedCount = 0
         self.closed = asyncio.Event()
 
-    async def carry(self, workerAddress: str, upstreamJob: UpstreamJob) -> AsyncGenerator[dict[str, Any], None]:
+    async def carry(
+        self, workerAddress: str, upstreamJob: UpstreamJob, mayBegin: MayBegin
+    ) -> AsyncGenerator[dict[str, Any], None]:
         self.startedCount += 1
         identity = f"cmpl-{upstreamJob.upstreamId}"
         try:
@@ -54,8 +56,11 @@
 
 
 class NoLink:
+    async def claim(self, address: str, fence: int, mayBegin: MayBegin) -> Result[dict[str, Any], str]:
+        return Err("none")
+
     async def load(
-        self, address: str, fence: int, line: str, weights: str, limitMicros: int
+        self, address: str, fence: int, line: str, weights: str, limitMicros: int, mayBegin: MayBegin
     ) -> Result[dict[str, Any], str]:
         return Err("none")
 
--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -355,7 +355,7 @@
             queue = self.queues.setdefault(job.entry.name, type(self)._queue_type())
             self._begin(queue, job.tenant.name)
             await asyncio.sleep(0)
-            return Ok(None)
+            return Ok(True)
 
         from pearhead.lathe import admit as admitModule
 
