Operators' marks outlast the platform's list; two namings of weights at once: one is refused

Ruled out: marks in the list alone (each list undid them), lists that need a base (the platform would have to read first). Worker commands had no apply id, so a lost reply could not be asked after. Conclusion: a mark belongs to the machine, a naming carries the base that its operator read, all may be repeated.

--- a/src/pearhead/anvil/fleet.py
+++ b/src/pearhead/anvil/fleet.py
@@ -145,15 +145,28 @@
         return {"status": "done", "revision": index}
 
     def _apply_workers(self, index: int, command: SetWorkers) -> Outcome:
-        if not command.partial:
-            self.workers = {}
+        revision = self.sections["workers"][0]
+        if command.baseRevision and command.baseRevision != revision:
+            return {"status": "conflict", "revision": revision}
+        listed = {w.name for w in command.worker} | (set(self.workers) if command.partial else set())
+        unknown = sorted({*command.leaving, *command.staying} - (listed - set(command.removed)))
+        if unknown:
+            return {"status": "refused", "faults": [f"no worker {name!r}" for name in unknown]}
+        before = self.workers
+        self.workers = dict(before) if command.partial else {}
         for worker in command.worker:
+            # Who lists the workers does not know what operators marked: a mark stays with its machine (§7.6).
+            held = before.get(worker.name, {})
+            isMarked = held.get("address") == worker.address and held.get("leaving", False)
             self.workers[worker.name] = {
                 "address": worker.address, "area": worker.area, "service": worker.service,
-                "leaving": worker.leaving,
+                "leaving": worker.leaving or isMarked,
             }
         for goneName in command.removed:
             self.workers.pop(goneName, None)
+        for names, isLeaving in ((command.leaving, True), (command.staying, False)):
+            for name in names:
+                self.workers[name] = {**self.workers[name], "leaving": isLeaving}
         for goneName in set(self.loads) - set(self.workers):
             del self.loads[goneName]
         self._show("workers", index, self.workers)
@@ -163,6 +176,9 @@
     def _apply_weights(self, index: int, command: NameWeights) -> Outcome:
         if command.line not in self.weights or not command.weights:
             return {"status": "refused", "faults": [f"weights: no line {command.line!r}, or no name"]}
+        revision = self.weights[command.line]["revision"]
+        if command.baseRevision and command.baseRevision != revision:
+            return {"status": "conflict", "revision": revision}
         self.weights[command.line] = {"weights": command.weights, "revision": index}
         self._show("weights", index, self.weights)
         return {"status": "done", "revision": index}
@@ -230,6 +246,38 @@
             fleet.apply(2, laterField)
         self.assertEqual(fleet.take_digest(), before, "nothing was applied")
 
+    def test_a_mark_outlasts_the_platforms_list_and_a_base_tells_of_races(self) -> None:
+        fleet = Fleet()
+        index = 0
+
+        def run(transaction: bytes = b"", **body: Any) -> Outcome:
+            nonlocal index
+            index += 1
+            return fleet.apply(index, Command(transaction=transaction, **body).SerializeToString())
+
+        def listed(address: str = "a:1") -> SetWorkers:
+            return SetWorkers(worker=[Worker(name="w", address=address, service="s")])
+
+        run(workers=listed())
+        marked = run(b"t", workers=SetWorkers(partial=True, leaving=["w"]))
+        run(workers=listed())
+        self.assertTrue(fleet.workers["w"]["leaving"], "the platform's list took the operator's mark away")
+        run(workers=SetWorkers(partial=True, staying=["w"]))
+        self.assertEqual(run(b"t", workers=SetWorkers(partial=True, leaving=["w"])), marked, "a repeat")
+        self.assertFalse(fleet.workers["w"]["leaving"], "a repeat marked again")
+        run(workers=SetWorkers(partial=True, leaving=["w"]))
+        run(workers=listed("b:1"))
+        self.assertFalse(fleet.workers["w"]["leaving"], "another machine of that name")
+        self.assertEqual(run(workers=SetWorkers(partial=True, leaving=["x"]))["status"], "refused")
+        late = SetWorkers(partial=True, leaving=["w"], baseRevision=1)
+        self.assertEqual(run(workers=late)["status"], "conflict")
+        run(apply=ApplyDescription(baseRevision=0, description=b'{"lines":[{"name":"l","weights":"w1"}]}'))
+        base = fleet.weights["l"]["revision"]
+        first = run(weights=NameWeights(line="l", weights="w2", baseRevision=base))
+        second = run(weights=NameWeights(line="l", weights="w3", baseRevision=base))
+        self.assertEqual((first["status"], second), ("done", {"status": "conflict", "revision": first["revision"]}))
+        self.assertEqual(fleet.weights["l"]["weights"], "w2")
+
     def test_repeats_races_and_digests(self) -> None:
         fleet = Fleet()
 
--- a/src/pearhead/anvil/operatorapi.py
+++ b/src/pearhead/anvil/operatorapi.py
@@ -67,7 +67,10 @@
         if data is None:
             return
         try:
-            command = Command()
+            command = Command(transaction=str(data.get("applyId", "")).encode())
+            command.workers.baseRevision = int(data.get("base", 0))
+            command.workers.leaving.extend(data.get("leaving", []))
+            command.workers.staying.extend(data.get("staying", []))
             command.workers.partial = bool(data.get("partial", False))
             command.workers.removed.extend(data.get("removed", []))
             for item in data.get("workers", []):
@@ -86,6 +89,10 @@
         command = Command(transaction=str(data.get("applyId", "")).encode())
         command.weights.line = str(data.get("line", ""))
         command.weights.weights = str(data.get("weights", ""))
+        try:
+            command.weights.baseRevision = int(data.get("base", 0))
+        except (ValueError, TypeError) as fault:
+            return self.refuse(f"base: {fault}")
         await self.execute(command)
 
 
--- a/src/pearhead/chisel/main.py
+++ b/src/pearhead/chisel/main.py
@@ -106,29 +106,32 @@
         status, givenResult = self._call(f"/outcome/{apply_id}", None)
         self._end(status, givenResult, "")
 
-    def weights(self, line: str, name: str, apply_id: str = "") -> None:
-        """Names new weights for a model line; the fleet then rolls its workers."""
-        body = {"line": line, "weights": name, "applyId": apply_id or secrets.token_hex(12)}
+    def weights(self, line: str, name: str, base: int = -1, apply_id: str = "") -> None:
+        """Names new weights for a model line; refused if other ones were named since --base, or since now."""
+        present = self._fleet()["weights"].get(line, {}).get("revision", 0)
+        body = {"line": line, "weights": name, "base": base if base >= 0 else present,
+                "applyId": apply_id or secrets.token_hex(12)}
         status, givenResult = self._call("/weights", body)
         self._end(status, givenResult, f"apply id {body['applyId']}")
 
-    def workers(self, file: str = "", leaving: str = "", removed: str = "") -> None:
-        """Shows the worker list, sets it whole from a file, or marks one leaving or removed."""
+    def workers(self, file: str = "", leaving: str = "", staying: str = "", removed: str = "",
+                base: int = 0, apply_id: str = "") -> None:
+        """Shows the worker list, sets it whole from a file, or marks one leaving, staying or removed.
+
+        A file keeps the marks of the machines that it lists; --base refuses if the list changed since.
+        """
+        if not (file or leaving or staying or removed):
+            print(json.dumps(self._fleet()["workers"], indent=2, sort_keys=True))
+            return
+        body: dict[str, Any] = {"base": base, "applyId": apply_id or secrets.token_hex(12)}
         if file:
-            status, givenResult = self._call("/workers", {"workers": read_file(file)["workers"]})
-            self._end(status, givenResult, "")
-        elif leaving:
-            worker = self._fleet()["workers"].get(leaving)
-            if worker is None:
-                raise ChiselFault(f"no worker {leaving!r}")
-            item = {**worker, "name": leaving, "leaving": True}
-            status, givenResult = self._call("/workers", {"partial": True, "workers": [item]})
-            self._end(status, givenResult, "")
-        elif removed:
-            status, givenResult = self._call("/workers", {"partial": True, "removed": [removed]})
-            self._end(status, givenResult, "")
+            body["workers"] = read_file(file).get("workers", [])
         else:
-            print(json.dumps(self._fleet()["workers"], indent=2, sort_keys=True))
+            body["partial"] = True
+        for field, name in (("leaving", leaving), ("staying", staying), ("removed", removed)):
+            body[field] = [name] if name else []
+        status, givenResult = self._call("/workers", body)
+        self._end(status, givenResult, f"apply id {body['applyId']}")
 
     def cores(self) -> None:
         """Shows what each core says of itself; one that does not answer is said so."""
--- a/src/pearhead/jig/sim/fleet.py
+++ b/src/pearhead/jig/sim/fleet.py
@@ -224,7 +224,7 @@
             self.knownDead.add(name)
             await self.world.call_into(machine, OUTSIDE, process.drain, 40 * SECOND)
         elif name.startswith("worker-"):
-            await self.set_workers(leaving=(name,))
+            await self.mark_leaving(name)
             await pause(self.world, 3 * SECOND)
             await self.until(lambda: not self.worker(name).runningCount, f"{name} is empty")
         self.kill(name)
@@ -384,8 +384,8 @@
     def draw_transaction(self) -> bytes:
         return self.world.chance.randbytes(8)
 
-    async def set_workers(self, leaving: tuple[str, ...] = (), removed: tuple[str, ...] = ()) -> None:
-        startMicros = self.world.now()
+    async def set_workers(self, removed: tuple[str, ...] = ()) -> None:
+        """The platform's whole list: what there is, without what operators marked."""
         command = Command(transaction=self.draw_transaction())
         for address, backEnd in sorted(self.backEnds.items()):
             name = backEnd.machine.name
@@ -393,14 +393,31 @@
                 continue
             service = {"store": "kept-parts", "desk": "desk"}.get(name, "models")
             command.workers.worker.append(Worker(
-                name=name, address=address, area=self.area_of(name), service=service, leaving=name in leaving
+                name=name, address=address, area=self.area_of(name), service=service
             ))
         await self.insist(command)
-        for name in sorted(set(self.leavingSince) - {*leaving, *removed}):
-            self.ledger.leavings.append((name, self.leavingSince.pop(name), startMicros))
-        for name in (*leaving, *removed):
+        for name in removed:
             self.leavingSince.setdefault(name, self.world.now())
-        self.world.note(f"the worker list is acknowledged, leaving {leaving}, removed {removed}")
+        self.world.note(f"the worker list is acknowledged, removed {removed}")
+
+    async def mark_leaving(self, *names: str) -> None:
+        command = Command(transaction=self.draw_transaction())
+        command.workers.partial = True
+        command.workers.leaving.extend(names)
+        result = await self.insist(command)
+        for name in names:
+            self.leavingSince.setdefault(name, self.world.now())
+        self.world.note(f"leaving {names}: {result.status}")
+
+    async def mark_staying(self, *names: str) -> None:
+        startMicros = self.world.now()
+        command = Command(transaction=self.draw_transaction())
+        command.workers.partial = True
+        command.workers.staying.extend(names)
+        result = await self.insist(command)
+        for name in names:
+            self.ledger.leavings.append((name, self.leavingSince.pop(name), startMicros))
+        self.world.note(f"staying {names}: {result.status}")
 
     async def apply(self, description: dict[str, Any], base: int | None = None) -> str:
         command = Command(transaction=self.draw_transaction())
@@ -443,13 +460,25 @@
         description["tenants"].append({"name": f"mark-{mark}", "keyHashes": []})
         return description
 
-    async def name_weights(self, name: str) -> None:
+    async def name_weights(self, name: str, base: int = 0) -> str:
         command = Command(transaction=self.draw_transaction())
         command.weights.line, command.weights.weights = self.deployment.line, name
+        command.weights.baseRevision = base
         self._act("weights", weights=name)
         result = await self.insist(command)
-        self.ledger.namings.append((json.loads(result.body)["revision"], self.world.now(), name))
-        self.world.note(f"weights {name} are acknowledged")
+        if result.status == "done":
+            self.ledger.namings.append((json.loads(result.body)["revision"], self.world.now(), name))
+        self.world.note(f"weights {name}: {result.status}")
+        return result.status
+
+    async def weights_revision(self) -> int:
+        """As an operator reads it, at whichever core leads."""
+        while True:
+            for core in self.cores.values():
+                state = await core.read_fleet() if hasattr(core, "raft") else None
+                if state is not None:
+                    return int(state["weights"][self.deployment.line]["revision"])
+            await pause(self.world, 100 * MILLI)
 
     # ---- callers -------------------------------------------------------------------------------------
 
--- a/src/pearhead/jig/sim/mutations.py
+++ b/src/pearhead/jig/sim/mutations.py
@@ -348,3 +348,27 @@
         node.budget.take_out = lambda service: False  # type: ignore[method-assign]
 
     _on_nodes(fleet, change)
+
+
+@mutation("platform-against-operators", "leaving")
+def marks_overwritten(fleet: SimFleet) -> None:
+    """The platform's list is taken as it is, and takes operators' marks away."""
+    realWorkers = Fleet._apply_workers
+
+    def apply(self: Fleet, index: int, command: Any) -> dict[str, Any]:
+        if not command.partial:
+            self.workers = {}
+        return realWorkers(self, index, command)
+
+    Fleet._apply_workers = apply  # type: ignore[method-assign]
+
+
+@mutation("platform-against-operators", "two operators named weights at once, and both were told done")
+def weights_base_unchecked(fleet: SimFleet) -> None:
+    realWeights = Fleet._apply_weights
+
+    def apply(self: Fleet, index: int, command: Any) -> dict[str, Any]:
+        command.baseRevision = 0
+        return realWeights(self, index, command)
+
+    Fleet._apply_weights = apply  # type: ignore[method-assign]
--- a/src/pearhead/jig/sim/recording.py
+++ b/src/pearhead/jig/sim/recording.py
@@ -114,7 +114,11 @@
     elif kind == "heal":
         fleet.world.heal()
     elif kind == "weights":
-        fleet.openJobs.add(fleet.world.loop.create_task(fleet.name_weights(event["weights"])))
+        fleet.openJobs.add(fleet.world.loop.create_task(_name_weights(fleet, event["weights"])))
+
+
+async def _name_weights(fleet: SimFleet, weights: str) -> None:
+    await fleet.name_weights(weights)
 
 
 def compare(recording: Recording, played: Replay) -> list[str]:
--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -126,7 +126,7 @@
     caught = trap_nodes(fleet, JOB, names)
     await fleet.until(lambda: len(caught) == len(names), "all are caught as they connect")
     await withdraw(fleet, fleet.deployment.tenantNames[0])
-    await fleet.set_workers(leaving=tuple(sorted({worker for _, worker in caught if worker != "desk"})[:2]))
+    await fleet.mark_leaving(*sorted({worker for _, worker in caught if worker != "desk"})[:2])
     await fleet.name_weights("w2")
     for name in names:
         await pause(fleet.world, 4 * SECOND)
@@ -181,7 +181,7 @@
     fleet.world.note(f"cuts {name} off from cores and nodes")
     fleet.cut([name], [*sorted(fleet.cores), *sorted(fleet.nodes)])
     await withdraw(fleet, fleet.deployment.tenantNames[0])
-    await fleet.set_workers(leaving=("worker-1", "worker-2"))
+    await fleet.mark_leaving("worker-1", "worker-2")
     await fleet.name_weights("w2")
     await settle(fleet)
     fleet.heal()
@@ -370,17 +370,40 @@
 
 @scenario
 async def workers_come_and_go(fleet: SimFleet) -> None:
-    await fleet.set_workers(leaving=("worker-1", "worker-2", "worker-4"))
+    await fleet.mark_leaving("worker-1", "worker-2", "worker-4")
     await pause(fleet.world, 7 * SECOND)
     fleet.kill("worker-1")
     fleet.kill("worker-3")
     await pause(fleet.world, 3 * SECOND)
     fleet.start("worker-3")
     fleet.start("worker-1")
-    await fleet.set_workers()
+    await fleet.mark_staying("worker-1", "worker-2", "worker-4")
     await settle(fleet)
 
 
+@scenario
+async def platform_against_operators(fleet: SimFleet) -> None:
+    """The platform sends its whole list again and again; operators mark workers and name weights at once."""
+    listTask = fleet.world.loop.create_task(list_on(fleet))
+    for number in range(3):
+        name = f"worker-{number + 1}"
+        await fleet.mark_leaving(name)
+        await pause(fleet.world, 6 * SECOND)
+        await fleet.mark_staying(name)
+    revision = await fleet.weights_revision()
+    first, second = (fleet.world.loop.create_task(fleet.name_weights(w, revision)) for w in ("w2", "w3"))
+    if sorted([await first, await second]) != ["conflict", "done"]:
+        fleet.ledger.breaches.append("two operators named weights at once, and both were told done")
+    listTask.cancel()
+    await settle(fleet)
+
+
+async def list_on(fleet: SimFleet) -> None:
+    while True:
+        await fleet.set_workers()
+        await pause(fleet.world, 300 * MILLI)
+
+
 @scenario
 async def workers_crash(fleet: SimFleet) -> None:
     """One after another, each with jobs running on it."""
@@ -444,7 +467,7 @@
         await pause(fleet.world, 300 * MILLI)
         fleet.start(name)
         if name.startswith("worker-"):
-            await fleet.set_workers()
+            await fleet.mark_staying(name)
         await pause(fleet.world, 1_500 * MILLI)
         if number == 3:
             await fleet.apply(fleet.marked_description("a"))
