Old weights end by the first naming after them; faults that overlap, and a last one that stays

Ruled out: the term (views were current), worker refusals, frozen workers. Conclusion: a grant counts from when its end was last known not to have come.

--- a/src/pearhead/jig/main.py
+++ b/src/pearhead/jig/main.py
@@ -90,13 +90,17 @@
             raise SystemExit(1)
 
     def sim(self, scenario: str, deployment: str = "academy", seed: int = 1, seeds: int = 1,
-            record: str = "") -> None:
-        """Runs a scenario, or `all`, on virtual time for one or more seeds, and looks for breaches."""
+            record: str = "", without: str = "") -> None:
+        """Runs a scenario, or `all`, on virtual time for one or more seeds, and looks for breaches.
+
+        --without leaves out strikes of overlapping-faults by their numbers.
+        """
+        leftOut = frozenset(int(n) for n in str(without).strip("()").replace(" ", "").split(",") if n)
         deploymentNames = list(DEPLOYMENTS) if deployment == "all" else [deployment_named(deployment).name]
         if scenario != "all" and scenario not in SCENARIOS:
             raise SystemExit(f"jig: no scenario {scenario!r}; there are {', '.join(SCENARIOS)}")
         orders = [
-            RunOrder(name, deploymentName, seed + extra, recordPath=record)
+            RunOrder(name, deploymentName, seed + extra, recordPath=record, leftOut=leftOut)
             for name in (SCENARIOS if scenario == "all" else [scenario])
             for deploymentName in deploymentNames
             for extra in range(seeds)
--- a/src/pearhead/jig/sim/fleet.py
+++ b/src/pearhead/jig/sim/fleet.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from result import Err
+from result import Err, Ok
 
 from pearhead.anvil.core import CoreProcess
 from pearhead.awl.clock import MILLI, SECOND
@@ -26,6 +26,7 @@
 from pearhead.vise.wal import WalCorrupt
 
 OUTSIDE = "outside"
+NOT_OPEN = "not open"
 COMMAND_MICROS = 6 * SECOND
 JOB_MICROS = 20 * SECOND
 UP_MICROS = 20 * SECOND
@@ -65,6 +66,10 @@
         self.jobNumber = 0
         self.applyNumber = 0
         self.loadTasks: list[asyncio.Task[None]] = []
+        self.workerNumber = self.workerCount
+        self.goneWorkers: set[str] = set()
+        self.withdrawnTenants: set[str] = set()
+        self.leftOut: frozenset[int] = frozenset()
         self.burstTasks: list[asyncio.Task[None]] = []
         self.actions: list[tuple[int, str, dict[str, Any]]] = []
         self.leavingSince: dict[str, int] = {}
@@ -159,6 +164,10 @@
         self.backEnds[address] = BackEnd(machine, model)
         self.world.note(f"starts {name}")
 
+    def present_workers(self) -> list[str]:
+        names = [b.machine.name for a, b in sorted(self.backEnds.items()) if a.startswith("worker-")]
+        return [n for n in names if n not in self.goneWorkers]
+
     def _draw_pace(self) -> Pace:
         """Workers of unlike speed; long results stream for one to three seconds."""
         chance = self.world.chance
@@ -175,12 +184,32 @@
     def _act(self, kind: str, **more: Any) -> None:
         self.actions.append((self.world.now(), kind, more))
 
-    def cut(self, firstNames: list[str], secondNames: list[str], bothWays: bool = True) -> None:
+    def cut(
+        self, firstNames: list[str], secondNames: list[str], bothWays: bool = True
+    ) -> list[tuple[str, str]]:
         before = set(self.world.cuts)
         self.world.cut(firstNames, secondNames, bothWays)
-        for pair in sorted(self.world.cuts - before):
+        pairs = sorted(self.world.cuts - before)
+        for pair in pairs:
             self.book.begin("cut", pair, self.world.now())
-        self._act("cut", pairs=[list(pair) for pair in sorted(self.world.cuts - before)])
+        self._act("cut", pairs=[list(pair) for pair in pairs])
+        return pairs
+
+    def mend(self, pairs: list[tuple[str, str]]) -> None:
+        """Heals only these, while other cuts stand."""
+        self._act("mend", pairs=[list(pair) for pair in pairs])
+        self.world.note(f"mends {len(pairs)} links")
+        for pair in pairs:
+            self.book.end("cut", pair, self.world.now())
+            self.world.cuts.discard(pair)
+
+    async def replace_worker(self, name: str) -> None:
+        """A machine of another name and address comes for one that is gone for good."""
+        self.goneWorkers.add(name)
+        self.workerNumber += 1
+        self.start_back_end(f"worker-{self.workerNumber}")
+        self._note_names()
+        await self.set_workers()
 
     def heal(self) -> None:
         self._act("heal")
@@ -315,7 +344,7 @@
 
     def _note_names(self) -> None:
         self.ledger.coreNames, self.ledger.nodeNames = set(self.cores), set(self.nodes)
-        self.ledger.workerNames = {b.machine.name for a, b in self.backEnds.items() if a.startswith("worker-")}
+        self.ledger.workerNames = set(self.present_workers())
         self.book.machineNames = set(self.world.machines)
 
     def _is_ready(self) -> bool:
@@ -342,9 +371,13 @@
     async def command(self, command: Command, coreName: str = "") -> CommandResult | None:
         """One try at one core, as an operator's request; None if no answer came back."""
         coreName = coreName or self.world.chance.choice(sorted(self.cores))
-        core = self.cores[coreName]
         machine = self.world.machine(coreName)
-        givenResult = await self.world.call_into(machine, OUTSIDE, lambda: core.execute(command), COMMAND_MICROS)
+
+        async def work() -> CommandResult:
+            # Whichever process listens there by then.
+            return await self.cores[coreName].execute(command)
+
+        givenResult = await self.world.call_into(machine, OUTSIDE, work, COMMAND_MICROS)
         return None if isinstance(givenResult, Err) else givenResult.ok_value
 
     async def insist(self, command: Command) -> CommandResult:
@@ -389,7 +422,7 @@
         command = Command(transaction=self.draw_transaction())
         for address, backEnd in sorted(self.backEnds.items()):
             name = backEnd.machine.name
-            if name in removed:
+            if name in removed or name in self.goneWorkers:
                 continue
             service = {"store": "kept-parts", "desk": "desk"}.get(name, "models")
             command.workers.worker.append(Worker(
@@ -457,6 +490,7 @@
     def marked_description(self, mark: str) -> dict[str, Any]:
         """A description told apart by one more tenant, which no caller uses."""
         description = build_description(self.deployment)
+        description["tenants"] = [t for t in description["tenants"] if t["name"] not in self.withdrawnTenants]
         description["tenants"].append({"name": f"mark-{mark}", "keyHashes": []})
         return description
 
@@ -526,17 +560,20 @@
 
     async def call(self, nodeName: str, tenant: str, job: dict[str, Any]) -> JobTrace:
         trace = self.ledger.jobs[job["jobId"]] = JobTrace(job, tenant, nodeName, self.world.now())
-        node, machine = self.nodes[nodeName], self.world.machine(nodeName)
+        machine = self.world.machine(nodeName)
         pen = _TracePen(self.world, trace)
 
         async def work() -> Any:
+            # Whichever process listens there by then; one that is not open yet takes no connections.
+            node = self.nodes[nodeName]
+            if not node.isOpen:
+                return NOT_OPEN
             request = read_job(json.dumps(job).encode()).unwrap()
             return await node.run_job(tenant_key(self.deployment, tenant), request, pen)
 
-        if machine.isAlive and not node.isOpen:
-            givenResult: Any = Err("refused")
-        else:
-            givenResult = await self.world.call_into(machine, OUTSIDE, work, JOB_MICROS)
+        givenResult: Any = await self.world.call_into(machine, OUTSIDE, work, JOB_MICROS)
+        if givenResult == Ok(NOT_OPEN):
+            givenResult = Err("refused")
         trace.endMicros = self.world.now()
         if isinstance(givenResult, Err):
             # No answer at all: the caller can't tell, unless it never reached the node.
--- a/src/pearhead/jig/sim/recording.py
+++ b/src/pearhead/jig/sim/recording.py
@@ -111,6 +111,8 @@
         fleet.wake(name)
     elif kind == "cut":
         fleet.world.cuts.update((a, b) for a, b in event["pairs"])
+    elif kind == "mend":
+        fleet.world.cuts.difference_update((a, b) for a, b in event["pairs"])
     elif kind == "heal":
         fleet.world.heal()
     elif kind == "weights":
--- a/src/pearhead/jig/sim/runner.py
+++ b/src/pearhead/jig/sim/runner.py
@@ -28,9 +28,11 @@
     mutation: str = ""
     nodeCount: int = 0
     recordPath: str = ""
+    leftOut: frozenset[int] = frozenset()
 
     def command(self) -> str:
-        return f"jig sim {self.scenario} --deployment {self.deployment} --seed {self.seed}"
+        leftOut = f" --without {','.join(map(str, sorted(self.leftOut)))}" if self.leftOut else ""
+        return f"jig sim {self.scenario} --deployment {self.deployment} --seed {self.seed}{leftOut}"
 
 
 @dataclass
@@ -68,7 +70,8 @@
     try:
         prepare = MUTATIONS[order.mutation].prepare if order.mutation else lambda fleet: None
         ledger, world = run_scenario(
-            order.scenario, order.deployment, order.seed, prepare, order.nodeCount, order.recordPath
+            order.scenario, order.deployment, order.seed, prepare, order.nodeCount, order.recordPath,
+            order.leftOut,
         )
     except Exception:  # noqa: BLE001 - a crash of the simulator is a failed run, told with its place
         return RunResult(order, breaches=[traceback.format_exc()])
--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -15,6 +15,7 @@
 from pearhead.jig.sim.fleet import SimFleet
 from pearhead.jig.sim.ledger import RECOVERY_MICROS, Ledger
 from pearhead.jig.sim.recording import record_run
+from pearhead.jig.sim.striker import Striker
 from pearhead.jig.sim.world import Machine, World, pause, run_virtual
 from pearhead.jig.workermodel import ApplicationModel
 
@@ -331,6 +332,21 @@
     await settle(fleet)
 
 
+@scenario
+async def weights_named_again_and_again(fleet: SimFleet) -> None:
+    """Each naming comes before the last roll-out is over, and a node is out of reach for some of them."""
+    chance = fleet.world.chance
+    names = sorted(fleet.nodes)[:2]
+    fleet.world.note(f"cuts {names} off from cores and nodes")
+    pairs = fleet.cut(names, [*sorted(fleet.cores), *sorted(fleet.nodes)])
+    for number in range(4):
+        await fleet.name_weights(f"w{number + 2}")
+        await pause(fleet.world, chance.randrange(4 * SECOND, 8 * SECOND))
+        if number == 1:
+            fleet.mend(pairs)
+    await settle(fleet)
+
+
 @scenario
 async def datagrams_lost(fleet: SimFleet) -> None:
     fleet.set_cast_loss(0.3, 0.1)
@@ -670,12 +686,20 @@
     await settle(fleet)
 
 
+@scenario
+async def overlapping_faults(fleet: SimFleet) -> None:
+    """Fourteen strikes of all kinds that overlap, and a last one that stays on."""
+    await Striker(fleet).play()
+    await settle(fleet)
+
+
 def run_scenario(
     name: str, deploymentName: str, seed: int, prepare: Callable[[SimFleet], None] = lambda fleet: None,
-    nodeCount: int = 0, recordPath: str = "",
+    nodeCount: int = 0, recordPath: str = "", leftOut: frozenset[int] = frozenset(),
 ) -> tuple[Ledger, World]:
     async def play(world: World) -> tuple[Ledger, World]:
         fleet = SimFleet(world, DEPLOYMENTS[deploymentName], nodeCount)
+        fleet.leftOut = leftOut
         prepare(fleet)
         await fleet.up()
         startMicros = world.now()
--- /dev/null
+++ b/src/pearhead/jig/sim/striker.py
@@ -0,0 +1,313 @@
+"""Striker (§9.7): plays drawn strikes on a fleet, each a task of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from pearhead.awl.clock import MILLI, SECOND
+from pearhead.jig.sim.edges import COMMAND, JOB, SimFetch
+from pearhead.jig.sim.fleet import SimFleet
+from pearhead.jig.sim.strikes import Strike, StrikePlan
+from pearhead.jig.sim.world import pause
+
+
+class Striker:
+    def __init__(self, fleet: SimFleet) -> None:
+        self.fleet = fleet
+        self.world = fleet.world
+        self.weightsNumber = 1
+        self.markNumber = 0
+        self.withdrawn: set[str] = set()
+        self.leaving: set[str] = set()
+
+    async def play(self) -> None:
+        """All strikes that are not left out; ends when all but the last are over, and that one stands."""
+        strikes = [s for s in StrikePlan().draw(self.world.seed) if s.number not in self.fleet.leftOut]
+        startMicros = self.world.now()
+        tasks: list[asyncio.Task[None]] = []
+        for strike in strikes:
+            if strike.staysOn:
+                await asyncio.gather(*tasks)
+            await pause(self.world, max(0, startMicros + strike.atMicros - self.world.now()))
+            self.world.note(strike.text())
+            work: Callable[[Strike], Awaitable[None]] = getattr(self, f"_play_{strike.kind.replace('-', '_')}")
+            tasks.append(self.world.loop.create_task(self._run(work, strike)))
+        await asyncio.gather(*tasks)
+
+    async def _run(self, work: Callable[[Strike], Awaitable[None]], strike: Strike) -> None:
+        await work(strike)
+
+    async def _last(self, strike: Strike, end: Callable[[], None]) -> None:
+        if not strike.staysOn:
+            await pause(self.world, strike.lastsMicros)
+            end()
+
+    def _name(self, role: str, strike: Strike) -> str:
+        """Among those that stand, so that strikes do not hit the same machine twice at once."""
+        held = {"core": sorted(self.fleet.cores), "node": sorted(self.fleet.nodes),
+                "worker": self.fleet.present_workers()}
+        names = [n for n in held[role] if self.fleet.book.stands(n, self.world.now()) and n not in self.leaving]
+        return names[strike.pick % len(names)] if names else held[role][0]
+
+    async def _kill(self, strike: Strike, names: list[str], losesPower: bool = False) -> None:
+        killed = [n for n in names if self.world.machine(n).isAlive]
+        for name in killed:
+            self.fleet.kill(name, losesPower)
+
+        def start() -> None:
+            for name in killed:
+                if self._is_wanted(name):
+                    self.fleet.start(name)
+
+        await self._last(strike, start)
+
+    def _is_wanted(self, name: str) -> bool:
+        return not self.world.machine(name).isAlive and (
+            name in self.fleet.cores or name in self.fleet.nodes
+            or (f"{name}:2" in self.fleet.backEnds and name not in self.fleet.goneWorkers)
+        )
+
+    async def _freeze(self, strike: Strike, name: str) -> None:
+        self.world.machine(name).kernelAnswers = strike.pick % 3 > 0
+        self.fleet.freeze(name)
+        await self._last(strike, lambda: self.fleet.wake(name))
+
+    async def _cut(self, strike: Strike, names: list[str], others: list[str], bothWays: bool = True) -> None:
+        pairs = self.fleet.cut(names, others, bothWays)
+        await self._last(strike, lambda: self.fleet.mend(pairs))
+
+    def _all(self) -> list[str]:
+        return sorted(self.world.machines)
+
+    # ---- the core ----------------------------------------------------------------------------------
+
+    async def _play_core_killed(self, strike: Strike) -> None:
+        await self._kill(strike, [self._core(strike)])
+
+    async def _play_core_power(self, strike: Strike) -> None:
+        await self._kill(strike, [self._core(strike)], losesPower=True)
+
+    async def _play_core_frozen(self, strike: Strike) -> None:
+        await self._freeze(strike, self._core(strike))
+
+    async def _play_core_isolated(self, strike: Strike) -> None:
+        await self._cut(strike, [self._core(strike)], self._all())
+
+    async def _play_core_stalled(self, strike: Strike) -> None:
+        await self._disk(strike, "stalled")
+
+    async def _play_core_full(self, strike: Strike) -> None:
+        await self._disk(strike, "full")
+
+    async def _disk(self, strike: Strike, kind: str) -> None:
+        name = self._core(strike)
+        self.fleet.set_disk(name, kind, True)
+        await self._last(strike, lambda: self.fleet.set_disk(name, kind, False))
+
+    async def _play_core_replaced(self, strike: Strike) -> None:
+        name = self._core(strike)
+        await self.fleet.apply(self.fleet.marked_description(self._mark()))
+        if not self.world.machine(name).isAlive:
+            return
+        self.fleet.lose_core(name)
+        self.fleet.add_core(f"core-{len(self.fleet.startups) + 1}")
+
+    async def _play_core_split(self, strike: Strike) -> None:
+        leader = self.fleet.leader() or self._core(strike)
+        await self._cut(strike, [leader], [n for n in sorted(self.fleet.cores) if n != leader])
+
+    async def _play_cores_slow(self, strike: Strike) -> None:
+        for name in sorted(self.fleet.cores):
+            self.world.machine(name).disk.slowness = 10
+        self.fleet.book.disturb(self.world.now())
+        await self._last(strike, self._quicken)
+
+    def _quicken(self) -> None:
+        for name in sorted(self.fleet.cores):
+            self.world.machine(name).disk.slowness = 1
+
+    async def _play_all_cores_killed(self, strike: Strike) -> None:
+        await self._kill(strike, sorted(self.fleet.cores), losesPower=strike.pick % 2 > 0)
+
+    async def _play_all_killed(self, strike: Strike) -> None:
+        await self._kill(strike, [*sorted(self.fleet.cores), *sorted(self.fleet.nodes)], strike.pick % 2 > 0)
+
+    async def _play_area_cut_off(self, strike: Strike) -> None:
+        area = self.fleet.deployment.areas[strike.pick % 3]
+        names = [n for n in self._all() if self.fleet.area_of(n) == area]
+        await self._cut(strike, names, [n for n in self._all() if n not in names])
+
+    def _core(self, strike: Strike) -> str:
+        """The leader as often as not."""
+        leader = self.fleet.leader()
+        return leader if leader and strike.pick % 2 else self._name("core", strike)
+
+    # ---- nodes ---------------------------------------------------------------------------------------
+
+    async def _play_node_killed(self, strike: Strike) -> None:
+        await self._kill(strike, [self._name("node", strike)])
+
+    async def _play_nodes_killed(self, strike: Strike) -> None:
+        await self._kill(strike, sorted(self.fleet.nodes))
+
+    async def _play_node_frozen(self, strike: Strike) -> None:
+        await self._freeze(strike, self._name("node", strike))
+
+    async def _play_node_isolated(self, strike: Strike) -> None:
+        await self._cut(strike, [self._name("node", strike)], self._all())
+
+    async def _play_node_cut_from_cores(self, strike: Strike) -> None:
+        name = self._name("node", strike)
+        await self._cut(strike, [name], [*sorted(self.fleet.cores), *sorted(self.fleet.nodes)])
+
+    async def _play_node_deaf(self, strike: Strike) -> None:
+        workers = [n for n in self._all() if n.startswith("worker-")]
+        await self._cut(strike, workers, [self._name("node", strike)], bothWays=False)
+
+    async def _play_node_frozen_connecting(self, strike: Strike) -> None:
+        await self._trap(strike, JOB)
+
+    async def _play_holder_frozen_commanding(self, strike: Strike) -> None:
+        await self._trap(strike, COMMAND)
+
+    async def _trap(self, strike: Strike, purpose: str) -> None:
+        name = self._name("node", strike)
+        caught: list[str] = []
+
+        def freeze(_: object) -> None:
+            self.fleet.freeze(name)
+            caught.append(name)
+
+        self.world.connectTraps[name, purpose] = freeze
+        endMicros = self.world.now() + 3 * SECOND
+        while not caught and self.world.now() < endMicros:
+            await pause(self.world, 20 * MILLI)
+        self.world.connectTraps.pop((name, purpose), None)
+        await pause(self.world, strike.lastsMicros)
+        if caught:
+            self.fleet.wake(name)
+
+    # ---- workers and the store -----------------------------------------------------------------------
+
+    async def _play_worker_killed(self, strike: Strike) -> None:
+        await self._kill(strike, [self._name("worker", strike)])
+
+    async def _play_worker_frozen(self, strike: Strike) -> None:
+        await self._freeze(strike, self._name("worker", strike))
+
+    async def _play_worker_isolated(self, strike: Strike) -> None:
+        await self._cut(strike, [self._name("worker", strike)], self._all())
+
+    async def _play_worker_slow(self, strike: Strike) -> None:
+        pace = self.fleet.paces[self._name("worker", strike)]
+        held = (pace.prefillMicros, pace.lineMicros, pace.longLineMicros)
+        pace.prefillMicros, pace.lineMicros, pace.longLineMicros = (3 * micros for micros in held)
+        self.fleet.book.disturb(self.world.now())
+        await pause(self.world, strike.lastsMicros)
+        pace.prefillMicros, pace.lineMicros, pace.longLineMicros = held
+        self.fleet.book.disturb(self.world.now())
+
+    async def _play_worker_hangs(self, strike: Strike) -> None:
+        await self._spoil_load(strike, "hangs")
+
+    async def _play_worker_fails(self, strike: Strike) -> None:
+        await self._spoil_load(strike, "fails")
+
+    async def _spoil_load(self, strike: Strike, loadFault: str) -> None:
+        model = self.fleet.worker(self._name("worker", strike))
+        model.loadFault = loadFault
+        await self._name_weights()
+        await pause(self.world, strike.lastsMicros)
+        model.loadFault = ""
+        self.fleet.book.disturb(self.world.now())
+
+    async def _play_worker_silent(self, strike: Strike) -> None:
+        model = self.fleet.worker(self._name("worker", strike))
+        model.log.isSilent = True
+        await pause(self.world, strike.lastsMicros)
+        model.log.isSilent = False
+
+    async def _play_worker_replaced(self, strike: Strike) -> None:
+        """Gone for good; another comes at a new address, and is listed."""
+        name = self._name("worker", strike)
+        self.fleet.kill(name, losesPower=True)
+        await pause(self.world, strike.lastsMicros)
+        await self.fleet.replace_worker(name)
+
+    async def _play_worker_leaving(self, strike: Strike) -> None:
+        name = self._name("worker", strike)
+        self.leaving.add(name)
+        await self.fleet.mark_leaving(name)
+        await pause(self.world, 3 * SECOND + strike.lastsMicros)
+        await self.fleet.mark_staying(name)
+        self.leaving.discard(name)
+
+    async def _play_links_slow(self, strike: Strike) -> None:
+        links = [
+            link for a in sorted(self.fleet.backEnds) if a.startswith("worker-")
+            and isinstance(link := self.fleet.worker(a.partition(":")[0]).link, SimFetch)
+        ]
+        for link in links:
+            link.slowness = 30
+        await pause(self.world, strike.lastsMicros)
+        for link in links:
+            link.slowness = 1
+
+    async def _play_store_empty(self, strike: Strike) -> None:
+        await self._kill(strike, ["store"])
+
+    async def _play_casts_lost(self, strike: Strike) -> None:
+        self.fleet.set_cast_loss(0.3, 0.1)
+        await self._last(strike, lambda: self.fleet.set_cast_loss(0.0))
+
+    # ---- operators -----------------------------------------------------------------------------------
+
+    def _mark(self) -> str:
+        self.markNumber += 1
+        return f"s{self.markNumber}"
+
+    async def _play_apply(self, strike: Strike) -> None:
+        await self.fleet.apply(self.fleet.marked_description(self._mark()))
+
+    async def _play_race(self, strike: Strike) -> None:
+        base = self.fleet.descriptionRevision
+        descriptions = [self.fleet.marked_description(self._mark()) for _ in range(2)]
+        await asyncio.gather(*(self.fleet.apply(d, base) for d in descriptions))
+
+    async def _play_grows(self, strike: Strike) -> None:
+        description = self.fleet.marked_description(self._mark())
+        description["entries"] += [
+            {"name": f"more-{n}", "line": self.fleet.deployment.line, "tenants": ["*"], "kinds": [f"kind-{n}"],
+             "service": "models"} for n in range(500)
+        ]
+        await self.fleet.apply(description)
+
+    async def _play_weights(self, strike: Strike) -> None:
+        await self._name_weights()
+
+    async def _play_weights_twice(self, strike: Strike) -> None:
+        await self._name_weights()
+        await pause(self.world, strike.lastsMicros // 8)
+        await self._name_weights()
+
+    async def _name_weights(self) -> None:
+        self.weightsNumber += 1
+        await self.fleet.name_weights(f"w{self.weightsNumber}")
+
+    async def _play_key_withdrawn(self, strike: Strike) -> None:
+        tenantName = self.fleet.deployment.tenantNames[strike.pick % len(self.fleet.deployment.tenantNames)]
+        if tenantName in self.fleet.withdrawnTenants:
+            return
+        await self._withdraw(tenantName, True)
+        await pause(self.world, 4 * SECOND + strike.lastsMicros)
+        await self._withdraw(tenantName, False)
+
+    async def _withdraw(self, tenantName: str, isAway: bool) -> None:
+        """Tried with a fresh base until it is in force: other operators may come first."""
+        (self.fleet.withdrawnTenants.add if isAway else self.fleet.withdrawnTenants.discard)(tenantName)
+        while await self.fleet.apply(self.fleet.marked_description(self._mark())) != "done":
+            await pause(self.world, 50 * MILLI)
+        if isAway:
+            self.fleet.ledger.withdrawals.append((tenantName, self.world.now()))
+
--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -91,6 +91,7 @@
         self.goodCore = ""
         self.loadWatcher: Callable[[str, int, int], None] = lambda worker, running, waitingTokens: None
         self.soundnessWatcher: Callable[[str], None] = lambda worker: None
+        self.mayServe: Callable[[View, str, str], bool] = lambda view, line, worker: True
         self.servingSince: dict[tuple[str, int], int] = {}
         self.isDraining = False
         listener.copyWatcher = self._take_copies
@@ -224,8 +225,8 @@
         sinceMicros = self.clock.now() - self.keeper.firstSeen.get((line, revision), 0)
         if sinceMicros < SPREAD_MICROS:
             return False  # Nodes that have not seen the naming would still send jobs here.
-        firstWave = first_wave(view, worker.service)
-        if worker.name in firstWave or worker.leaving:
+        isUseless = not self.mayServe(view, line, worker.name)
+        if isUseless or worker.leaving or worker.name in first_wave(view, worker.service, revision):
             return self._is_drained(report, nowMicros - sinceMicros) or sinceMicros > DRAIN_MICROS
         if not is_wave_serving(view, worker.service, revision) and sinceMicros <= WAVE_MICROS:
             self.servingSince.pop((line, revision), None)
--- a/src/pearhead/lathe/node.py
+++ b/src/pearhead/lathe/node.py
@@ -72,6 +72,7 @@
             clock, chance, self.crew, startup.holdMicros,
         )
         self.holder.loadWatcher = self.nominator.take_load
+        self.holder.mayServe = self.nominator.weights_allowed
         self.holder.soundnessWatcher = self.nominator.take_unsound
         self.isDraining = False
         self.isOpen = False
--- a/src/pearhead/lathe/nominate.py
+++ b/src/pearhead/lathe/nominate.py
@@ -164,8 +164,8 @@
             return False
         if load.weightsRevision == present.revision:
             return True
-        seenMicros = self.keeper.firstSeen.get((line, present.revision))
-        return seenMicros is not None and self.clock.now() - seenMicros < self.oldWeightsMicros
+        sinceMicros = self.keeper.superseded_since(line, load.weightsRevision)
+        return sinceMicros is not None and self.clock.now() - sinceMicros < self.oldWeightsMicros
 
     def _place_on_model(self, view: View, job: Job, candidates: list[WorkerFact]) -> Placement:
         assert job.entry is not None and job.tenant is not None
@@ -230,7 +230,7 @@
         assert job.entry is not None
         line = job.entry.line
         present = view.weights[line]
-        firstWave = first_wave(view, job.entry.service)
+        firstWave = first_wave(view, job.entry.service, present.revision)
         # Those that load first are left alone while others on the old weights remain; these go on until the
         # whole wave serves, or its first worker would be sent everything (§7.3).
         waiting = [w for w in candidates if w not in onPresent and w.name not in firstWave]
@@ -391,8 +391,15 @@
     def test_old_weights_serve_only_a_while_and_only_where_the_roll_out_was_seen(self) -> None:
         self.view.__dict__["weights"] = {"l": WeightsFact("y", 6)}
         self.assertEqual(self.nominator.nominate(self.job()).unwrap_err().kind, ErrorKind.NO_WORKER)
-        self.nominator.keeper.firstSeen["l", 6] = self.bench.now()
+        keeper = self.nominator.keeper
+        keeper.firstSeen["l", 6] = keeper.namedAfter["l", 6] = self.bench.now()
         self.assertEqual(self.place().worker.name, "w3", "the first wave is left alone")
         self.assertEqual(self.place().weightsName, "x")
-        self.bench.nowMicros += 8 * SECOND
-        self.assertEqual(self.nominator.nominate(self.job()).unwrap_err().kind, ErrorKind.NO_WORKER)
+        self.bench.nowMicros += 6 * SECOND
+        self.view.__dict__["weights"] = {"l": WeightsFact("z", 7)}
+        keeper.firstSeen["l", 7] = keeper.namedAfter["l", 7] = self.bench.now()
+        self.assertEqual(self.place().weightsName, "x")
+        self.bench.nowMicros += 2 * SECOND
+        self.assertEqual(
+            self.nominator.nominate(self.job()).unwrap_err().kind, ErrorKind.NO_WORKER, "a naming granted time anew"
+        )
--- a/src/pearhead/lathe/term.py
+++ b/src/pearhead/lathe/term.py
@@ -21,6 +21,7 @@
 RELAY_COUNT = 2
 COME_BACK_LIMIT_MICROS = 12 * SECOND
 NEVER = -1
+LONG_AGO = -(10**12)
 NO_DELTA = 2**62
 
 
@@ -43,6 +44,7 @@
         self.needsWhole = False
         self.isFetching = False
         self.firstSeen: dict[tuple[str, int], int] = {}
+        self.namedAfter: dict[tuple[str, int], int] = {}
         self.hasView = False
         courier.on_ask("termAsk", self._make_colleague_result)
 
@@ -54,6 +56,16 @@
         outMicros = self.clock.now() - self.currentAt if self.currentAt != NEVER else 0
         return min(max(outMicros, ROUND_MICROS + RESULT_MICROS), COME_BACK_LIMIT_MICROS)
 
+    def superseded_since(self, line: str, revision: int) -> int | None:
+        """No later than when weights after these were acknowledged; None while these are the present ones.
+
+        The first naming after them counts, not the last: each later one would grant old weights a time anew.
+        """
+        return min(
+            (atMicros for (lineName, r), atMicros in self.namedAfter.items() if lineName == line and r > revision),
+            default=None,
+        )
+
     def core_addresses(self) -> list[str]:
         known = [m.address for m in self.members.member if m.voter]
         return known or [r.address for r in self.directory.members("anvil")]
@@ -158,8 +170,11 @@
         self.view = nextView
         for lineName, fact in nextView.weights.items():
             # A node that boots can't tell how old a roll-out is, so it grants old weights nothing (§7.4).
-            seenMicros = self.clock.now() if self.hasView else self.clock.now() - 10**12
-            self.firstSeen.setdefault((lineName, fact.revision), seenMicros)
+            self.firstSeen.setdefault(
+                (lineName, fact.revision), self.clock.now() if self.hasView else LONG_AGO
+            )
+            # When this node last knew itself current, without it, it was not acknowledged yet.
+            self.namedAfter.setdefault((lineName, fact.revision), self.currentAt if self.hasView else LONG_AGO)
         self.hasView = True
         if nextView.descriptionRevision != oldRevision:
             LOGGER.info("lathe: Description %d is in force.", nextView.descriptionRevision)
--- a/src/pearhead/lathe/wave.py
+++ b/src/pearhead/lathe/wave.py
@@ -6,7 +6,7 @@
 import unittest
 
 from pearhead.awl.clock import MILLI
-from pearhead.awl.view import View, WorkerFact
+from pearhead.awl.view import LoadFact, View, WorkerFact
 
 # By then every node that may serve has seen a change: a round of the term and some.
 SPREAD_MICROS = 500 * MILLI
@@ -18,23 +18,38 @@
 LAST_DRAIN_MICROS = 16_000 * MILLI
 
 
-def first_wave(view: View, service: str) -> list[str]:
-    """Half of the workers that stay, rounded up; leaving ones wait for nobody."""
-    names = sorted(n for n, w in view.workers.items() if w.service == service and not w.leaving)
-    return names[: math.ceil(len(names) / 2)]
+def first_wave(view: View, service: str, revision: int) -> list[str]:
+    """Who is still to load before half of those that stay, rounded up, serve these weights: the oldest loads
+    first, as their time to serve ends first; leaving ones wait for nobody."""
+    staying = _staying(view, service)
+    toLoad = sorted((n for n in staying if _loaded(view, n) != revision), key=lambda n: (_loaded(view, n), n))
+    doneCount = len(staying) - len(toLoad)
+    return toLoad[: max(0, math.ceil(len(staying) / 2) - doneCount)]
 
 
 def is_wave_serving(view: View, service: str, revision: int) -> bool:
-    """Whether all of the first wave are loaded with these weights."""
-    return all(
-        n in view.loads and view.loads[n].weightsRevision == revision for n in first_wave(view, service)
-    )
+    return not first_wave(view, service, revision)
+
+
+def _staying(view: View, service: str) -> list[str]:
+    return [n for n, w in view.workers.items() if w.service == service and not w.leaving]
+
+
+def _loaded(view: View, worker: str) -> int:
+    return view.loads[worker].weightsRevision if worker in view.loads else 0
 
 
 class FirstWaveTest(unittest.TestCase):
-    def test_half_of_those_that_stay(self) -> None:
+    def test_half_of_those_that_stay_the_oldest_first(self) -> None:
         view = View()
         workers = {f"w{n}": WorkerFact(f"w{n}", "a", "z", "s", leaving=n == 0) for n in range(6)}
         workers["x"] = WorkerFact("x", "a", "z", "other", leaving=False)
-        view.__dict__["workers"] = workers
-        self.assertEqual(first_wave(view, "s"), ["w1", "w2", "w3"])
+        loads = {n: LoadFact("l", "life", 1, 5, 0) for n in workers}
+        view.__dict__.update(workers=workers, loads=loads)
+        self.assertEqual(first_wave(view, "s", 6), ["w1", "w2", "w3"])
+        loads["w1"] = LoadFact("l", "life", 1, 6, 0)
+        self.assertEqual(first_wave(view, "s", 6), ["w2", "w3"], "the wave stays the same as it loads")
+        self.assertEqual(first_wave(view, "s", 7), ["w2", "w3", "w4"], "what was just loaded comes last")
+        loads["w5"] = loads["w3"] = loads["w1"]
+        self.assertEqual(first_wave(view, "s", 6), [])
+        self.assertTrue(is_wave_serving(view, "s", 6) and not is_wave_serving(view, "s", 7))
