--- a/src/pearhead/jig/caller.py
+++ b/src/pearhead/jig/caller.py
@@ -29,8 +29,21 @@
     return faults
 
 
+@dataclass
+class CallerAnswer:
+    """What became of one job, as its caller saw it."""
+
+    job: dict[str, Any]
+    tenant: str
+    node: str
+    outcome: str
+    isRefused: bool = False
+    lines: list[dict[str, Any]] = field(default_factory=list)
+
+
 @dataclass
 class CallerReport:
+    answers: list[CallerAnswer] = field(default_factory=list)
     outcomes: Counter[str] = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
@@ -61,8 +74,11 @@
     async def _call(self, number: int) -> None:
         tenantName, job = draw_job(self.deployment, self.chance, number)
         chunks: list[bytes] = []
+        nodeAddress = self.chance.choice(self.nodeAddresses)
+        answer = CallerAnswer(job, tenantName, nodeAddress, CUT)
+        self.report.answers.append(answer)
         request = HTTPRequest(
-            f"http://{self.chance.choice(self.nodeAddresses)}/v1/jobs", method="POST", body=json.dumps(job),
+            f"http://{nodeAddress}/v1/jobs", method="POST", body=json.dumps(job),
             headers={"Authorization": f"Bearer {tenant_key(self.deployment, tenantName)}"},
             request_timeout=20, follow_redirects=False, streaming_callback=chunks.append,
         )
@@ -70,17 +86,19 @@
             await AsyncHTTPClient().fetch(request)
         except HTTPClientError as fault:
             bodyBytes = b"".join(chunks)
-            self._take_failure(job, fault.code, bodyBytes)
+            self._take_failure(answer, fault.code, bodyBytes)
             return
         except ConnectionRefusedError:
             self.report.outcomes["unreached"] += 1
             self.report.refused.add(job["jobId"])
+            answer.outcome, answer.isRefused = "unreached", True
             return
         except (OSError, ValueError):
             self._take_cut(job)
             return
         lines = [json.loads(x) for x in b"".join(chunks).splitlines()]
         self.report.faults.extend(find_stream_faults(job, lines))
+        answer.outcome, answer.lines = "done", lines
         self.report.outcomes["done"] += 1
         self.report.finished.add(job["jobId"])
         usage = lines[-1].get("usage", {}) if lines else {}
@@ -91,7 +109,8 @@
         self.report.outcomes[CUT] += 1
         self.report.cutJobs.add(job["jobId"])
 
-    def _take_failure(self, job: dict[str, Any], status: int, bodyBytes: bytes) -> None:
+    def _take_failure(self, answer: CallerAnswer, status: int, bodyBytes: bytes) -> None:
+        job = answer.job
         try:
             givenResult = json.loads(bodyBytes)
         except ValueError:
@@ -100,5 +119,6 @@
             self._take_cut(job)
             return
         self.report.outcomes[givenResult["error"]] += 1
+        answer.outcome, answer.isRefused = givenResult["error"], givenResult["ran"] == "not_run"
         if givenResult["ran"] == "not_run":
             self.report.refused.add(job["jobId"])
--- a/src/pearhead/jig/launcher.py
+++ b/src/pearhead/jig/launcher.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -170,6 +171,18 @@
 
     # ---- waiting on what processes say -------------------------------------------------------------
 
+    def lose_core(self, name: str) -> None:
+        """A core machine is gone with its disk; an empty one comes at a new address, with whoever lives as seeds."""
+        self.send_signal(name, signal.SIGKILL)
+        self.wait_until(lambda: not self.is_alive(name), f"{name} is gone")
+        core = self.plan["processes"][name]
+        shutil.rmtree(core["dataFolder"])
+        core["address"], core["httpAddress"] = (f"127.0.0.1:{portNumber}" for portNumber in FreePorts().draw(2))
+        core["seeds"] = [
+            p["address"] for n, p in self.plan["processes"].items() if p["program"] == "anvil" and n != name
+        ]
+        self.start(name)
+
     def get(self, address: str, path: str) -> dict[str, Any] | None:
         try:
             with urllib.request.urlopen(f"http://{address}{path}", timeout=2) as response:
--- a/src/pearhead/jig/main.py
+++ b/src/pearhead/jig/main.py
@@ -20,6 +20,7 @@
 from pearhead.jig.sim.runner import RunOrder, run_apart, run_order, run_orders
 from pearhead.jig.sim.scale import run_entries, run_nodes, table
 from pearhead.jig.sim.scenarios import SCENARIOS
+from pearhead.jig.sim.sweep import Sweep, run_as_they_end
 from pearhead.jig.standin import build_stand_in
 
 SIGNALS = {"kill": signal.SIGKILL, "freeze": signal.SIGSTOP, "wake": signal.SIGCONT}
@@ -116,6 +117,21 @@
         if any(r.breaches for r in results):
             raise SystemExit(1)
 
+    def sweep(self, scenario: str = "overlapping-faults", deployment: str = "all", seeds: int = 100, first: int = 1,
+              journal: str = "") -> None:
+        """Runs many seeds in parallel; goes on from --journal; one line a failing run, and a shortened one."""
+        deploymentNames = list(DEPLOYMENTS) if deployment == "all" else [deployment_named(deployment).name]
+        names = list(SCENARIOS) if scenario == "all" else [scenario]
+        if set(names) - set(SCENARIOS):
+            raise SystemExit(f"jig: no scenario {scenario!r}; there are {', '.join(SCENARIOS)}")
+        orders = [
+            RunOrder(n, d, first + extra) for extra in range(seeds) for n in names for d in deploymentNames
+        ]
+        failedCount = Sweep(Path(journal) if journal else None, run_as_they_end, print).run(orders)
+        print(f"{len(orders)} runs, {failedCount} broke a rule")
+        if failedCount:
+            raise SystemExit(1)
+
     def replay(self, recording: str, description: str = "", faults: bool = True) -> None:
         """Plays a recording again, on another description or this build, and shows the difference."""
         held = read_recording(recording)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,14 +10,18 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from pearhead.anvil.folder import FolderReader
 from pearhead.jig.caller import Caller, CallerReport
 from pearhead.jig.deployment import ACADEMY, build_description
 from pearhead.jig.launcher import Launcher
+from pearhead.jig.sim.ledger import JobTrace, Ledger
+from pearhead.jig.workermodel import RunRecord
 from pearhead.loupe.main import FleetReader
 
 
@@ -107,6 +111,107 @@
         self.assertFalse(set(ranIds) & report.refused, "a refused job ran")
         self.assertEqual([run for run in runs if run["foreign"]], [])
 
+    def check_answers(self, reports: list[CallerReport]) -> None:
+        """The simulator's checkers, on what callers and stand-ins of real processes saw."""
+        ledger = Ledger(ACADEMY)
+        for report in reports:
+            for answer in report.answers:
+                ledger.jobs[answer.job["jobId"]] = JobTrace(
+                    answer.job, answer.tenant, answer.node, 0, answer.lines, answer.outcome, answer.isRefused
+                )
+        ledger.runs = [("worker", RunRecord(**run)) for run in self.runs()]
+        self.assertEqual(ledger.find_breaches(), [])
+        # The checkers do see these ledgers: one refused job that ran is told.
+        ranId = ledger.runs[-1][1].upstreamId.split(".")[0]
+        ledger.jobs[ranId] = JobTrace({"jobId": ranId, "kind": "notice"}, "", "", 0, [], "no_worker", True)
+        self.assertEqual(len(ledger.find_breaches()), 1)
+
+    def call_beside(self, jobCount: int, first: int, work: Callable[[], None]) -> CallerReport:
+        async def run() -> CallerReport:
+            caller = Caller(ACADEMY, self.launcher.addresses_of("lathe"), random.Random(first))
+            callTask = asyncio.ensure_future(caller.run(jobCount, 8, first))
+            await asyncio.to_thread(work)
+            return await callTask
+
+        return asyncio.run(run())
+
+    def revision(self) -> int:
+        found: dict[str, Any] = {}
+
+        def is_read() -> bool:
+            for address in self.launcher.addresses_of("anvil"):
+                found.update(self.launcher.get(address, "/fleet") or {})
+            return bool(found)
+
+        self.launcher.wait_until(is_read, "a core that reads the fleet")
+        return int(found["descriptionRevision"])
+
+    def test_freezes_a_lost_disk_races_and_a_roll_out_under_load(self) -> None:
+        """Stopped and continued processes, an emptied core at a new address, two operators, all killed."""
+        launcher = self.launcher
+        reports: list[CallerReport] = []
+
+        def freeze_some() -> None:
+            for name in (self.leader() or "core-1", "node-2", "worker-2"):
+                launcher.send_signal(name, signal.SIGSTOP)
+                try:
+                    launcher.wait_until(
+                        lambda: any(
+                            (launcher.get(a, "/soundness") or {}).get("current") for a in launcher.addresses_of("lathe")
+                        ), "a node that serves beside a stopped process",
+                    )
+                    self.assertEqual(launcher.command("/weights", {
+                        "line": ACADEMY.line, "weights": f"beside-{name}", "applyId": f"beside-{name}"
+                    })["status"], "done")
+                finally:
+                    launcher.send_signal(name, signal.SIGCONT)
+
+        reports.append(self.call_beside(120, 20_000, freeze_some))
+        launcher.wait_ready()
+
+        lostName = self.leader() or "core-1"
+        reports.append(self.call_beside(120, 21_000, lambda: launcher.lose_core(lostName)))
+        newAddress = launcher.plan["processes"][lostName]["address"]
+
+        def has_vote() -> bool:
+            givenResults = [launcher.get(a, "/soundness") for a in launcher.addresses_of("anvil")]
+            return all(
+                g is not None and {m["address"] for m in g["members"] if m["voter"]}
+                == {p["address"] for p in launcher.plan["processes"].values() if p["program"] == "anvil"}
+                for g in givenResults
+            )
+
+        launcher.wait_until(has_vote, f"the empty core at {newAddress} votes")
+
+        base = self.revision()
+        outcomes: list[str] = []
+
+        def apply(operator: str) -> None:
+            body = {"applyId": f"race-{operator}", "base": base, "description": build_description(ACADEMY)}
+            outcomes.append(launcher.command("/apply", body)["status"])
+
+        operators = [threading.Thread(target=apply, args=(name,)) for name in ("x", "y")]
+        for operator in operators:
+            operator.start()
+        for operator in operators:
+            operator.join()
+        self.assertEqual(sorted(outcomes), ["conflict", "done"])
+        acknowledged = self.revision()
+
+        def kill_all() -> None:
+            names = [n for n, p in launcher.plan["processes"].items() if p["program"] in ("anvil", "lathe")]
+            for name in names:
+                launcher.send_signal(name, signal.SIGKILL)
+            for name in names:
+                launcher.wait_until(lambda name=name: not launcher.is_alive(name), f"{name} is gone")  # type: ignore[misc]
+                launcher.start(name)
+
+        reports.append(self.call_beside(120, 22_000, kill_all))
+        launcher.wait_ready()
+        self.assertEqual(self.revision(), acknowledged, "what was acknowledged outlasts the kill of all")
+        self.assertGreater(self.call_until_whole(30, 23_000, launcher.addresses_of("lathe")).outcomes["done"], 0)
+        self.check_answers(reports)
+
     def test_planned_stops_under_load_drop_nothing(self) -> None:
         nodeAddresses = self.launcher.addresses_of("lathe")
 
