--- a/src/pearhead/jig/sim/fleet.py
+++ b/src/pearhead/jig/sim/fleet.py
@@ -151,6 +151,7 @@
         address = f"{name}:2"
 
         def watch(record: RunRecord) -> None:
+            record.atMicros = machine.to_world(record.atMicros)
             self.ledger.runs.append((name, record))
 
         model: WorkerModel | ApplicationModel | StoreModel
@@ -206,10 +207,19 @@
     async def replace_worker(self, name: str) -> None:
         """A machine of another name and address comes for one that is gone for good."""
         self.goneWorkers.add(name)
+        await self.add_worker()
+
+    async def add_worker(self) -> str:
         self.workerNumber += 1
-        self.start_back_end(f"worker-{self.workerNumber}")
+        newName = f"worker-{self.workerNumber}"
+        self.start_back_end(newName)
         self._note_names()
         await self.set_workers()
+        return newName
+
+    def is_loaded(self, workerName: str) -> bool:
+        """Whether all nodes that stand know it to be loaded."""
+        return all(workerName in n.keeper.view.loads for name, n in self.nodes.items() if self._lives(name))
 
     def heal(self) -> None:
         self._act("heal")
--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -420,6 +420,70 @@
         await pause(fleet.world, 300 * MILLI)
 
 
+@scenario
+async def clocks_of_unlike_rate(fleet: SimFleet) -> None:
+    """Each machine's clock counts up to 2 % too fast or too slow, while terms, holds, waves and tables run."""
+    for name in sorted(fleet.world.machines):
+        fleet.world.machine(name).set_rate(fleet.world.chance.uniform(0.98, 1.02))
+    pairs = fleet.cut(["node-1"], [*sorted(fleet.cores), *sorted(fleet.nodes)])
+    await fleet.mark_leaving("worker-1")
+    await withdraw(fleet, fleet.deployment.tenantNames[0])
+    await fleet.name_weights("w2")
+    holder = fleet.world.chance.choice(sorted(fleet.nodes)[1:])
+    fleet.freeze(holder)
+    await pause(fleet.world, 6 * SECOND)
+    fleet.mend(pairs)
+    fleet.wake(holder)
+    await pause(fleet.world, 12 * SECOND)
+    fleet.kill(fleet.leader(), losesPower=True)
+    await fleet.apply({**fleet.marked_description("a"), "tenants": fleet.marked_description("a")["tenants"][1:]})
+    await settle(fleet)
+
+
+@scenario
+async def workers_replaced_until_none_is_left(fleet: SimFleet) -> None:
+    """Planned: each comes by another name and address before the next one leaves; weights are named meanwhile."""
+    fleet.ledger.plannedCount += 1
+    for number, name in enumerate(fleet.present_workers()):
+        newName = await fleet.add_worker()
+        await fleet.until(lambda newName=newName: fleet.is_loaded(newName), f"{newName} is loaded")  # type: ignore[misc]
+        await fleet.mark_leaving(name)
+        await pause(fleet.world, 3 * SECOND)
+        await fleet.until(lambda name=name: not fleet.worker(name).runningCount, f"{name} is empty")  # type: ignore[misc]
+        fleet.kill(name)
+        fleet.goneWorkers.add(name)
+        await fleet.set_workers()
+        if number % 3 == 1:
+            await fleet.name_weights(f"w{number + 1}")
+    await settle(fleet)
+
+
+@scenario
+async def two_disks_fail_at_once(fleet: SimFleet) -> None:
+    """A majority of disks stalls, then is full, then a digest is cut meanwhile: nothing is acknowledged that is
+    not kept, nodes serve on what they know to be current, and all is well once one disk is."""
+    names = sorted(fleet.cores, key=lambda n: n != fleet.leader())
+    for kind in ("stalled", "full"):
+        for name in names[:2]:
+            fleet.set_disk(name, kind, True)
+        applyTask = fleet.world.loop.create_task(fleet.apply(fleet.marked_description(kind)))
+        bumpTasks = [
+            fleet.world.loop.create_task(fleet.nodes["node-1"].listener.bump(
+                f"tenant:{fleet.deployment.tenantNames[0]}", fleet.deployment.line, part
+            )) for part in range(60)
+        ]
+        await pause(fleet.world, fleet.world.chance.randrange(2 * SECOND, 5 * SECOND))
+        if applyTask.done():
+            fleet.ledger.breaches.append("an apply was acknowledged by one disk of three")
+        for name in names[:2]:
+            fleet.set_disk(name, kind, False)
+        await applyTask
+        for bumpTask in bumpTasks:
+            await bumpTask
+        await pause(fleet.world, 2 * SECOND)
+    await settle(fleet)
+
+
 @scenario
 async def workers_crash(fleet: SimFleet) -> None:
     """One after another, each with jobs running on it."""
--- a/src/pearhead/jig/sim/sweep.py
+++ b/src/pearhead/jig/sim/sweep.py
@@ -21,7 +21,7 @@
 
 def run_as_they_end(orders: list[RunOrder]) -> Iterator[RunResult]:
     context = multiprocessing.get_context("spawn")
-    with concurrent.futures.ProcessPoolExecutor(mp_context=context, max_tasks_per_child=8) as pool:
+    with concurrent.futures.ProcessPoolExecutor(mp_context=context) as pool:
         for future in concurrent.futures.as_completed([pool.submit(run_order, order) for order in orders]):
             yield future.result()
 
--- a/src/pearhead/jig/sim/world.py
+++ b/src/pearhead/jig/sim/world.py
@@ -28,6 +28,10 @@
         self.world = world
         self.name = name
         self.chance = random.Random(world.chance.getrandbits(64))
+        # Each machine booted at another time, and its crystal may be quick or slow.
+        self.clockBase = self.chance.randrange(10**6, 10**12)
+        self.clockSince = 0
+        self.clockRate = 1.0
         self.isAlive = False
         self.isFrozen = False
         # A stopped process's kernel still takes connections for it; a stopped machine's does not.
@@ -38,10 +42,17 @@
         self.disk = SimDisk(self)
 
     def now(self) -> int:
-        return self.world.now()
+        return self.clockBase + round((self.world.now() - self.clockSince) * self.clockRate)
+
+    def set_rate(self, clockRate: float) -> None:
+        """From here on; what it counted stays counted."""
+        self.clockBase, self.clockSince, self.clockRate = self.now(), self.world.now(), clockRate
+
+    def to_world(self, ownMicros: int) -> int:
+        return self.clockSince + round((ownMicros - self.clockBase) / self.clockRate)
 
     def after(self, delayMicros: int, callback: Action) -> Timer:
-        return self.world.loop.call_later(max(delayMicros, 0) / SECOND, self.gate(callback))
+        return self.world.loop.call_later(max(delayMicros, 0) / self.clockRate / SECOND, self.gate(callback))
 
     def gate(self, action: Action) -> Action:
         life = self.life
--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -186,7 +186,8 @@
             return
         line = next((e.line for e in view.description.entries if e.service == worker.service), "")
         present = view.weights.get(line)
-        if present is None or not report.life:
+        if present is None or not report.life or worker.leaving:
+            # What leaves takes no new jobs: a load would only cut its last ones. If it stays, it loads then.
             return
         load = view.loads.get(worker.name)
         isLoaded = load is not None and load.line == line and load.life == report.life
@@ -226,10 +227,11 @@
         if sinceMicros < SPREAD_MICROS:
             return False  # Nodes that have not seen the naming would still send jobs here.
         isUseless = not self.mayServe(view, line, worker.name)
-        if isUseless or worker.leaving or worker.name in first_wave(view, worker.service, revision):
+        if isUseless or worker.name in first_wave(view, worker.service, revision):
             return self._is_drained(report, nowMicros - sinceMicros) or sinceMicros > DRAIN_MICROS
-        if not is_wave_serving(view, worker.service, revision) and sinceMicros <= WAVE_MICROS:
-            self.servingSince.pop((line, revision), None)
+        # Once over, a wave stays over, whoever leaves of it.
+        isOver = (line, revision) in self.servingSince or sinceMicros > WAVE_MICROS
+        if not isOver and not is_wave_serving(view, worker.service, revision):
             return False
         servingSince = self.servingSince.setdefault((line, revision), nowMicros)
         if nowMicros - servingSince < SPREAD_MICROS:
--- a/src/pearhead/lathe/nominate.py
+++ b/src/pearhead/lathe/nominate.py
@@ -48,6 +48,7 @@
         self.toldUnsoundUntil: dict[str, int] = {}
         self.unsoundUntil: dict[str, int] = {}
         self.costs = CostBook()
+        self.overWaves: set[tuple[str, int]] = set()
         self.usesIndex = True
 
     def nominate(self, job: Job) -> Result[Placement, Refusal]:
@@ -235,10 +236,14 @@
         # whole wave serves, or its first worker would be sent everything (§7.3).
         waiting = [w for w in candidates if w not in onPresent and w.name not in firstWave]
         seenMicros = self.keeper.firstSeen.get((line, present.revision), 0)
-        isWaveOver = is_wave_serving(view, job.entry.service, present.revision) or (
+        isWaveOver = (line, present.revision) in self.overWaves or (
+            is_wave_serving(view, job.entry.service, present.revision)
             # The rest begins to load now, whoever of the wave is late.
-            self.clock.now() - seenMicros > WAVE_MICROS - SPREAD_MICROS
+            or self.clock.now() - seenMicros > WAVE_MICROS - SPREAD_MICROS
         )
+        if isWaveOver:
+            # It stays over, whoever leaves of it: the rest has begun to load.
+            self.overWaves.add((line, present.revision))
         return onPresent if isWaveOver and onPresent else onPresent + waiting or candidates
 
     def _plan_fetch(self, view: View, job: Job, placement: Placement, workers: list[WorkerFact]) -> None:
--- a/src/pearhead/lathe/wave.py
+++ b/src/pearhead/lathe/wave.py
@@ -20,7 +20,7 @@
 
 def first_wave(view: View, service: str, revision: int) -> list[str]:
     """Who is still to load before half of those that stay, rounded up, serve these weights: the oldest loads
-    first, as their time to serve ends first; leaving ones wait for nobody."""
+    first, as their time to serve ends first. Leaving ones, and new ones that serve nothing yet, wait for nobody."""
     staying = _staying(view, service)
     toLoad = sorted((n for n in staying if _loaded(view, n) != revision), key=lambda n: (_loaded(view, n), n))
     doneCount = len(staying) - len(toLoad)
@@ -32,11 +32,11 @@
 
 
 def _staying(view: View, service: str) -> list[str]:
-    return [n for n, w in view.workers.items() if w.service == service and not w.leaving]
+    return [n for n, w in view.workers.items() if w.service == service and not w.leaving and n in view.loads]
 
 
 def _loaded(view: View, worker: str) -> int:
-    return view.loads[worker].weightsRevision if worker in view.loads else 0
+    return view.loads[worker].weightsRevision
 
 
 class FirstWaveTest(unittest.TestCase):
@@ -53,3 +53,5 @@
         loads["w5"] = loads["w3"] = loads["w1"]
         self.assertEqual(first_wave(view, "s", 6), [])
         self.assertTrue(is_wave_serving(view, "s", 6) and not is_wave_serving(view, "s", 7))
+        workers["w9"] = WorkerFact("w9", "a", "z", "s", leaving=False)
+        self.assertTrue(is_wave_serving(view, "s", 6), "a new one that is not loaded holds no wave up")
