The HTTP edge under mix-ups: wrong ids, late lines, pipelined jobs, the last check, queued jobs

Ruled out: nothing had to be changed. Before: no such test. Conclusion: no line of another job, or after the closing one, reaches a caller.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -34,6 +34,9 @@
         self.lineCount = 2
         self.text = "t"
         self.cutAfter: int | None = None
+        self.wrongAfter: int | None = None
+        self.trailing: list[dict[str, Any]] = []
+        self.mayBegin: MayBegin = lambda: True
         self.yieldedCount = 0
         self.startedCount = 0
         self.closed = asyncio.Event()
@@ -42,15 +45,20 @@
         self, workerAddress: str, upstreamJob: UpstreamJob, mayBegin: MayBegin
     ) -> AsyncGenerator[dict[str, Any], None]:
         self.startedCount += 1
+        self.mayBegin = mayBegin
         identity = f"cmpl-{upstreamJob.upstreamId}"
         try:
             for number in range(self.lineCount):
+                if number == self.wrongAfter:
+                    yield {"id": "cmpl-another", "choices": [{"text": "another's"}]}
                 if number == self.cutAfter:
                     raise CarryFault(CUT, "scripted")
                 await asyncio.sleep(0)
                 self.yieldedCount += 1
                 yield {"id": identity, "choices": [{"text": self.text}]}
             yield {"id": identity, "choices": [], "usage": {}}
+            for event in self.trailing:
+                yield event
         finally:
             self.closed.set()
 
@@ -201,6 +209,92 @@
         self.send(self.notice())
         self.assertEqual(await self.refusal(), (401, "bad_key", "not_run"))
 
+    async def test_a_line_of_another_job_cuts_the_stream_and_never_reaches_the_caller(self) -> None:
+        for wrongAfter, wanted in ((0, (502, True, 1)), (1, (200, False, 1))):
+            self.carrier.wrongAfter = wrongAfter
+            self.node.nominator.unsoundUntil.clear()
+            self.send(self.notice())
+            status, body, isWhole = await self.givenResult()
+            self.assertEqual((status, isWhole, len(body.splitlines())), wanted)
+            self.assertNotIn(b"another's", body)
+            if not isWhole:
+                self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.portNumber, limit=2**16)
+
+    async def test_nothing_after_the_closing_line_reaches_the_caller_or_the_next_job(self) -> None:
+        self.carrier.trailing = [{"id": "cmpl-another", "choices": [{"text": "late"}]}]
+        for jobId in ("first", "second"):
+            self.send(self.notice(jobId=jobId))
+            status, body, isWhole = await self.givenResult()
+            lines = [json.loads(x) for x in body.splitlines()]
+            self.assertEqual((status, isWhole, [x["job"] for x in lines]), (200, True, [jobId] * 3))
+            self.assertNotIn(b"late", body)
+
+    async def test_requests_sent_one_behind_the_other_are_answered_in_turn_and_apart(self) -> None:
+        """Three at once on one connection, the one in the middle refused: no line of one is within another."""
+        self.send(self.notice(jobId="a"))
+        self.send(self.notice(jobId="b"), "wrong")
+        self.send(self.notice(jobId="c"))
+        seen = []
+        for _ in range(3):
+            status, body, isWhole = await self.givenResult()
+            seen.append((status, isWhole, {json.loads(x).get("job") for x in body.splitlines()}))
+        self.assertEqual(seen, [(200, True, {"a"}), (401, True, {None}), (200, True, {"c"})])
+        self.assertEqual(self.carrier.startedCount, 2)
+
+    async def test_the_last_check_sees_whatever_went_since_nomination(self) -> None:
+        """Key, entry, worker and term, each taken away while the job runs; and all as they were."""
+        self.carrier.lineCount = 10**9
+        self.send(self.notice())
+        await self.reader.readuntil(b"\r\n\r\n")
+        mayBegin = self.carrier.mayBegin
+        view = self.node.keeper.view
+        self.assertTrue(mayBegin())
+        description = build_description(ACADEMY)
+        gone = [t for t in description["tenants"] if t["name"] != "trial"]
+        moved = dict(view.sections)
+        moved[ENTRY_SECTIONS[0]] = (6, json.dumps([{**description["entries"][2], "service": "models"}]).encode())
+        left = dict(view.sections)
+        left["workers"] = (6, left["workers"][1].replace(b"false", b"true"))
+        same = View(7, {**view.sections, "weights": (7, b"{}")})
+        for changed in (make_view(gone), View(6, moved), View(6, left)):
+            self.node.keeper.view = changed
+            self.assertFalse(mayBegin())
+        self.node.keeper.view = same
+        self.assertTrue(mayBegin(), "what did not touch the job does not stop it")
+        self.node.keeper.is_current = lambda: False  # type: ignore[method-assign]
+        self.assertFalse(mayBegin())
+
+    async def test_jobs_that_wait_are_told_at_once_when_the_term_is_lost_and_run_when_the_node_drains(self) -> None:
+        description = build_description(ACADEMY)
+        description["entries"][2].update(concurrency=1)
+        sections = dict(self.node.keeper.view.sections)
+        sections[ENTRY_SECTIONS[0]] = (5, json.dumps(description["entries"]).encode())
+        self.node.keeper.view = View(5, sections)
+        self.carrier.lineCount = 10**9
+        self.send(self.notice(jobId="first"))
+        await self.reader.readuntil(b"\r\n\r\n")
+        writer = self.writer
+
+        async def queue(jobId: str) -> None:
+            self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.portNumber, limit=2**16)
+            self.send(self.notice(jobId=jobId))
+            while not self.node.admission.waiting_count():
+                await asyncio.sleep(0)
+
+        await queue("second")
+        self.node.keeper.is_current = lambda: False  # type: ignore[method-assign]
+        reviewTask = asyncio.ensure_future(self.node._review_queues())
+        self.assertEqual(await asyncio.wait_for(self.refusal(), 10), (503, "not_current", "not_run"))
+        reviewTask.cancel()
+        self.writer.close()
+        self.node.keeper.is_current = lambda: True  # type: ignore[method-assign]
+        await queue("third")
+        self.node.isDraining = True
+        self.carrier.lineCount = 2
+        writer.close()
+        status, body, isWhole = await asyncio.wait_for(self.givenResult(), 10)
+        self.assertEqual((status, isWhole, len(body.splitlines())), (200, True, 3), "what waited before a drain runs")
+
     async def test_a_caller_that_goes_away_ends_the_upstream(self) -> None:
         self.carrier.lineCount = 10**9
         self.send(self.notice())
