Reports of changed parts raise revisions: brought about, and the old copies unused after

Cause: no stand-in ever told of a changed part, so the bump that a report should cause was unproved. Ruled out: nothing had to be changed.

--- a/src/pearhead/jig/sim/ledger.py
+++ b/src/pearhead/jig/sim/ledger.py
@@ -72,6 +72,7 @@
     applySpans: list[tuple[int, int, int]] = field(default_factory=list)
     reads: list[tuple[int, int, int]] = field(default_factory=list)
     withdrawals: list[tuple[str, int]] = field(default_factory=list)
+    changes: list[tuple[str, int, int]] = field(default_factory=list)
     namings: list[tuple[int, int, str]] = field(default_factory=list)
     leavings: list[tuple[str, int, int]] = field(default_factory=list)
     bumps: list[tuple[str, int, str, int]] = field(default_factory=list)
@@ -96,6 +97,7 @@
             self._check_weights, self._check_leaving, self._check_bumps, self._check_commands,
             self._check_recovery, self._check_retries, self._check_lasting,
             self._check_planned, self._check_histories, self._check_held_back,
+            self._check_changes,
         ):
             found.extend(f"{check.__name__[7:]}: {fault}" for fault in check())
         return found
@@ -327,6 +329,15 @@
                 faults.append(f"a read that ended at {endMicros} saw {revision} before it was asked for")
         return faults
 
+    def _check_changes(self) -> list[str]:
+        """A part that was reported as changed is not run on any more, from a while after the report on."""
+        return [
+            f"{record.upstreamId} on {worker} ran on {key[:8]} "
+            f"{(record.atMicros - toldMicros) / SECOND:.1f} s after it was told to have changed"
+            for key, toldMicros, limitMicros in self.changes for worker, record in self.runs
+            if key in record.reusedKeys and record.atMicros > toldMicros + limitMicros
+        ]
+
     def _check_held_back(self) -> list[str]:
         """A job that can't run any more has its final answer at once: no refusal waits in a queue."""
         faults = []
--- a/src/pearhead/jig/sim/mutations.py
+++ b/src/pearhead/jig/sim/mutations.py
@@ -372,3 +372,16 @@
         return realWeights(self, index, command)
 
     Fleet._apply_weights = apply  # type: ignore[method-assign]
+
+
+@mutation("parts-change", "changes")
+def changes_unheard(fleet: SimFleet) -> None:
+    """Reports of changed parts are read, and nothing is bumped for them."""
+
+    def change(node: NodeProcess) -> None:
+        async def bump(owner: str, line: str, part: int) -> None:
+            return None
+
+        node.listener.bump = bump  # type: ignore[method-assign]
+
+    _on_nodes(fleet, change)
--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -17,7 +17,7 @@
 from pearhead.jig.sim.recording import record_run
 from pearhead.jig.sim.striker import Striker
 from pearhead.jig.sim.world import Machine, World, pause, run_virtual
-from pearhead.jig.workermodel import ApplicationModel
+from pearhead.jig.workermodel import ApplicationModel, StoreModel
 
 JOBS_A_SECOND = 25.0
 Play = Callable[[SimFleet], Awaitable[None]]
@@ -665,6 +665,51 @@
     await settle(fleet)
 
 
+async def tell_changed(fleet: SimFleet, limitMicros: int) -> list[str]:
+    """Workers and the store tell of parts that changed; once, twice, and from another one late."""
+    chance = fleet.world.chance
+    hotKeys = [k for _, r in fleet.ledger.runs[-200:] for k in r.reusedKeys]
+    keys = sorted(set(hotKeys), key=lambda k: (-hotKeys.count(k), k))[:3]
+    tellers = [fleet.worker(name) for name in fleet.present_workers()]
+    for key in keys:
+        holding = [t for t in tellers if key in t.cache] or tellers
+        first, late = holding[0], holding[-1]
+        for _ in range(chance.choice([1, 2])):
+            first.log.tell("changed", key)
+        store = fleet.backEnds["store:2"].model
+        assert isinstance(store, StoreModel)
+        fleet.world.loop.call_later(chance.uniform(0.1, 1.5), store.log.tell, "changed", key)
+        fleet.world.loop.call_later(chance.uniform(2.0, 4.0), late.log.tell, "changed", key)
+        fleet.ledger.changes.append((key, fleet.world.now(), limitMicros))
+    if not keys:
+        fleet.ledger.breaches.append("no part was in use that could change")
+    return keys
+
+
+@scenario
+async def parts_change(fleet: SimFleet) -> None:
+    """What a worker tells as changed is bumped, once or more, and its old copies are used no more."""
+    await pause(fleet.world, 4 * SECOND)
+    await tell_changed(fleet, 2 * SECOND)
+    await pause(fleet.world, 4 * SECOND)
+    # Then with a holder that sleeps over the report, a leader that dies, and datagrams lost: tables tell it,
+    # and a holder's term, the next one's first poll and the table's lifetime bound how late.
+    fleet.set_cast_loss(0.3)
+    for name in sorted(fleet.nodes)[:2]:
+        fleet.freeze(name)
+    await tell_changed(fleet, 45 * SECOND)
+    await pause(fleet.world, 5 * SECOND)
+    fleet.kill(fleet.leader(), losesPower=True)
+    for name in sorted(fleet.nodes)[:2]:
+        fleet.wake(name)
+    await pause(fleet.world, 40 * SECOND)
+    fleet.set_cast_loss(0.0)
+    await settle(fleet)
+    volumes = fleet.cores[fleet.leader()].fleet.parts.values()
+    if not any(revision > 1 for parts in volumes for revision in parts.values()):
+        fleet.ledger.breaches.append("no report ever raised a revision")
+
+
 @scenario
 async def worker_links_slow(fleet: SimFleet) -> None:
     for address, backEnd in sorted(fleet.backEnds.items()):
--- a/src/pearhead/jig/workermodel.py
+++ b/src/pearhead/jig/workermodel.py
@@ -52,6 +52,7 @@
     foreign: list[str] = field(default_factory=list)
     sharedWith: list[str] = field(default_factory=list)
     reusedTokens: int = 0
+    reusedKeys: list[str] = field(default_factory=list)
 
 
 class FetchLink(Protocol):
@@ -155,6 +156,7 @@
         for part in prefix[:reusedCount]:
             kept = self.cache[part["key"]]
             record.reusedTokens += int(part["tokens"])
+            record.reusedKeys.append(part["key"])
             if kept.model != self.loadedModel:
                 record.foreign.append(f"weights {kept.model} on {self.loadedModel}")
             if kept.salt != salt:
