A long prefill is told to all nodes when it is sent, not at the next poll

Ruled out: tries (1 each), the queue of the node (sent within 2 ms), missing prefixes (own miss 0), waves. Cost: one datagram a node for each prefill of 1,000 tokens or more.

--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -32,6 +32,7 @@
 MARGIN_MICROS = 300 * MILLI
 BUMP_LIMIT = 512
 KEYS_A_NOTE = 25
+LONG_TOKENS = 1_000
 SILENT_POLLS = 2
 PARTS_AT_ONCE = 16
 
@@ -90,6 +91,7 @@
         self.bumpedFor: dict[str, int] = {}
         self.goodCore = ""
         self.loadWatcher: Callable[[str, int, int], None] = lambda worker, running, waitingTokens: None
+        self.startWatcher: Callable[[str, int], None] = lambda worker, tokens: None
         self.soundnessWatcher: Callable[[str], None] = lambda worker: None
         self.mayServe: Callable[[View, str, str], bool] = lambda view, line, worker: True
         self.servingSince: dict[tuple[str, int], int] = {}
@@ -319,9 +321,18 @@
         addresses = [r.address for r in self.directory.members("lathe")]
         self.courier.cast(addresses, "purgeNote", PurgeNote(copyNote=CopyNote(worker=worker, unsound=True)))
 
+    def tell_start(self, worker: str, tokens: int) -> None:
+        """A long prefill is told when it is sent: until the next poll all nodes would send jobs behind it (§8.5)."""
+        if tokens >= LONG_TOKENS:
+            addresses = [r.address for r in self.directory.members("lathe")]
+            note = CopyNote(worker=worker, startingTokens=tokens)
+            self.courier.cast(addresses, "purgeNote", PurgeNote(copyNote=note))
+
     def _take_copies(self, note: PurgeNote) -> None:
         if note.copyNote.unsound:
             self.soundnessWatcher(note.copyNote.worker)
+        elif note.copyNote.startingTokens:
+            self.startWatcher(note.copyNote.worker, note.copyNote.startingTokens)
         else:
             self._count_copies(note.copyNote)
 
--- a/src/pearhead/lathe/node.py
+++ b/src/pearhead/lathe/node.py
@@ -72,6 +72,7 @@
             clock, chance, self.crew, startup.holdMicros,
         )
         self.holder.loadWatcher = self.nominator.take_load
+        self.holder.startWatcher = self.nominator.take_start
         self.holder.mayServe = self.nominator.weights_allowed
         self.holder.soundnessWatcher = self.nominator.take_unsound
         self.isDraining = False
@@ -290,6 +291,7 @@
         lineCount = 0
         isPrefilling, firstMicros = True, 0
         self.nominator.begin(worker.name, placement.missedTokens)
+        self.holder.tell_start(worker.name, placement.missedTokens)
         try:
             async with aclosing(self.carrier.carry(
                 worker.address, upstreamJob, lambda: self._may_begin(job, placement)
--- a/src/pearhead/lathe/nominate.py
+++ b/src/pearhead/lathe/nominate.py
@@ -114,6 +114,10 @@
         self.othersCounts[worker] = max(0, running - self.runningCounts.get(worker, 0))
         self.othersTokens[worker] = max(0, waitingTokens - self.pendingTokens.get(worker, 0))
 
+    def take_start(self, worker: str, tokens: int) -> None:
+        """Another node sent a long prefill; the worker's next word says what is left of it."""
+        self.othersTokens[worker] = self.othersTokens.get(worker, 0) + tokens
+
     def wait_micros(self, entry: CapabilityEntry, worker: str, missedTokens: int) -> int:
         """Until the job would end: what lies before it, its own prefill, and its stream (§8.5)."""
         prefillRate = self.costs.prefill_rate(entry.line, worker)
@@ -321,6 +325,9 @@
         self.assertEqual(self.place().worker.name, "w2")
         self.nominator.take_load("w2", 0, 1_600)
         self.assertNotEqual(self.place().worker.name, "w2")
+        self.nominator.take_load("w2", 0, 0)
+        self.nominator.take_start("w2", 1_600)
+        self.assertNotEqual(self.place().worker.name, "w2", "another node's prefill")
         self.nominator.take_load("w2", 5, 0)
         self.assertNotEqual(self.place().worker.name, "w2", "over the bound of the load")
 
