Each refused caller is told a turn of its own behind those told before

Cause: all callers refused in one burst were told the same wait, that of the queue as it was, and came back together. Ruled out: longer constants (they spread nothing). No answer is held back for it.

--- a/src/pearhead/lathe/admit.py
+++ b/src/pearhead/lathe/admit.py
@@ -10,12 +10,13 @@
 
 from result import Err, Ok, Result
 
-from pearhead.awl.clock import Clock
+from pearhead.awl.clock import SECOND, Clock
 from pearhead.awl.description import CapabilityEntry
 from pearhead.lathe.errors import ErrorKind, Refusal
 from pearhead.lathe.job import Job
 
 SMOOTHING = 0.1
+COME_BACK_LIMIT_MICROS = 12 * SECOND
 # Ok(True): it may begin. Ok(False): its entry moved, and it queues anew. Err: it can't run any more.
 Turn = Result[bool, Refusal]
 
@@ -41,6 +42,13 @@
         self.waitersByTenant: OrderedDict[str, deque[_Waiter]] = OrderedDict()
         self.waitingCount = 0
         self.meanMicros = 0.0
+        self.toldAt = 0
+
+    def tell(self, waitMicros: int, concurrency: int, nowMicros: int) -> int:
+        """When to come back: a turn of its own behind those who were told before (§8.2)."""
+        self.toldAt = max(self.toldAt, nowMicros + waitMicros) + int(self.meanMicros / concurrency)
+        self.toldAt = min(self.toldAt, nowMicros + COME_BACK_LIMIT_MICROS)
+        return self.toldAt - nowMicros
 
     def expected_wait(self, entry: CapabilityEntry, tenantName: str) -> float:
         """Turns go round the waiting tenants, so a tenant waits for its own queue times theirs."""
@@ -66,12 +74,15 @@
         # A tenant may fill no more than its share of the queue, so that others find room.
         shareLimit = max(1, entry.queueLimit // max(2, len(queue.waitersByTenant)))
         if queue.waitingCount >= entry.queueLimit:
-            return Err(Refusal(ErrorKind.OVERLOADED, "the queue is full", waitMicros))
+            backMicros = queue.tell(waitMicros, entry.concurrency, self.clock.now())
+            return Err(Refusal(ErrorKind.OVERLOADED, "the queue is full", backMicros))
         if ownCount >= shareLimit:
-            return Err(Refusal(ErrorKind.TENANT_BUSY, "the tenant's share of the queue is full", waitMicros))
+            backMicros = queue.tell(waitMicros, entry.concurrency, self.clock.now())
+            return Err(Refusal(ErrorKind.TENANT_BUSY, "the tenant's share of the queue is full", backMicros))
         if waitMicros > job.left_micros(self.clock.now()):
             # Told at once: waiting to the deadline would only hide it (§8.3).
-            return Err(Refusal(ErrorKind.OVERLOADED, "its turn would come after its deadline", waitMicros))
+            backMicros = queue.tell(waitMicros, entry.concurrency, self.clock.now())
+            return Err(Refusal(ErrorKind.OVERLOADED, "its turn would come after its deadline", backMicros))
         waiter = _Waiter(job, asyncio.get_running_loop().create_future())
         queue.waitersByTenant.setdefault(tenantName, deque()).append(waiter)
         queue.waitingCount += 1
@@ -177,3 +188,11 @@
         refused = [r.err_value.kind for r in results if isinstance(r, Err)]
         self.assertEqual(refused, [ErrorKind.TENANT_BUSY] * 3)
         self.assertLess(order.index("small"), 3)
+
+    def test_each_refused_caller_is_told_a_turn_of_its_own_within_the_limit(self) -> None:
+        queue = _EntryQueue()
+        queue.meanMicros = float(SECOND)
+        told = [queue.tell(3 * SECOND, 2, 0) for _ in range(40)]
+        self.assertEqual(told[:3], [3_500_000, 4_000_000, 4_500_000])
+        self.assertEqual(told[-1], COME_BACK_LIMIT_MICROS)
+        self.assertEqual(queue.tell(0, 2, 60 * SECOND), SECOND // 2, "those turns are over")
