--- a/src/pearhead/jig/sim/ledger.py
+++ b/src/pearhead/jig/sim/ledger.py
@@ -285,14 +285,14 @@
     def _must_serve(self, trace: JobTrace) -> bool:
         forMicros = RECOVERY_MICROS + trace.endMicros - trace.sentMicros
         isQuiet = trace.outcome != "open" and self.book.is_quiet(trace.endMicros, forMicros)
+        return isQuiet and self._has_somewhere_to_go(trace)
+
+    def _has_somewhere_to_go(self, trace: JobTrace) -> bool:
+        """At a sound node, or at none, as none took connections while some should have."""
         if self.book.is_overloaded(trace.sentMicros):
             return False
         if trace.job["kind"] == "notice" and not self.book.stands("desk", trace.sentMicros):
-            return False  # There is one application worker; with it gone its jobs have nowhere to go.
-        return isQuiet and self._is_at_sound_node(trace)
-
-    def _is_at_sound_node(self, trace: JobTrace) -> bool:
-        """Or at none, as none took connections while some should have."""
+            return False  # There is one application worker.
         soundNodes = self.sound_nodes(trace.sentMicros)
         return trace.node in soundNodes or (not trace.node and bool(soundNodes))
 
@@ -378,7 +378,7 @@
             bad = [
                 t.sentMicros for t in self.jobs.values()
                 if startMicros <= t.sentMicros and t.endMicros < nextMicros and t.outcome not in ("done", "open")
-                and self._is_at_sound_node(t) and not self._is_withdrawn(t)
+                and self._has_somewhere_to_go(t) and not self._is_withdrawn(t)
             ]
             worst = max(worst or 0, max(bad) - startMicros if bad else 0)
         return worst
