--- a/src/pearhead/jig/sim/striker.py
+++ b/src/pearhead/jig/sim/striker.py
@@ -32,7 +32,8 @@
                 await asyncio.gather(*tasks)
             await pause(self.world, max(0, startMicros + strike.atMicros - self.world.now()))
             self.world.note(strike.text())
-            work: Callable[[Strike], Coroutine[Any, Any, None]] = getattr(self, f"_play_{strike.kind.replace('-', '_')}")
+            methodName = f"_play_{strike.kind.replace('-', '_')}"
+            work: Callable[[Strike], Coroutine[Any, Any, None]] = getattr(self, methodName)
             tasks.append(self.world.loop.create_task(work(strike)))
         await asyncio.gather(*tasks)
 
