--- a/src/pearhead/awl/description.py
+++ b/src/pearhead/awl/description.py
@@ -27,8 +27,53 @@
 
 @dataclass(frozen=True)
 class Service:
+    """Who runs requests or keeps parts (§5.4). Zero in a limit: not told. `source` is the operators' own text of
+    the item, given back as it came and read by nobody here."""
+
     name: str
     role: str
+    lines: list[str] = field(default_factory=list)
+    connection_limit: int = 0
+    capacity: int = 0
+    cache_tokens: int = 0
+    token_bytes: int = 0
+    link_mbps: float = 0.0
+    report_readers: int = 0
+    store_address: str = ""
+    store_zone: str = ""
+    source: str = ""
+
+
+@dataclass(frozen=True)
+class Split:
+    service: str
+    share: int
+
+
+@dataclass(frozen=True)
+class Route:
+    """Which requests go where, by host and the longest prefix of their path (§8.7). Times in whole microseconds.
+
+    `repeatable`: may run more than once. `resumable`: a stream that another worker may take up after its last event.
+    Anything else runs at most once for each request. `tries`: the most workers that one request may be sent to.
+    `urgency`: 0 goes first. `pause_micros`: the longest pause between events with which an answer is in time.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    splits: list[Split]
+    deadline_micros: int
+    aim_micros: int = 0
+    pause_micros: int = 0
+    tries: int = 1
+    urgency: int = 5
+    stream: bool = False
+    repeatable: bool = False
+    resumable: bool = False
+    public: bool = False
+    pinned: bool = False
+    source: str = ""
 
 
 @dataclass(frozen=True)
@@ -49,12 +94,19 @@
     name: str
     keyHashes: list[str]
     group: str = ""
+    urgency: int = 5
+    source: str = ""
 
 
 @dataclass(frozen=True)
 class Limits:
     retryShare: float = 0.1
     prefixParts: int = 256
+    header_bytes: int = 0
+    body_bytes: int = 0
+    header_micros: int = 0
+    idle_micros: int = 0
+    source: str = ""
 
 
 @dataclass(frozen=True)
@@ -64,6 +116,8 @@
     entries: list[CapabilityEntry] = field(default_factory=list)
     tenants: list[Tenant] = field(default_factory=list)
     limits: Limits = field(default_factory=Limits)
+    routes: list[Route] = field(default_factory=list)
+    source: str = ""
 
 
 @dataclass(frozen=True)
@@ -140,6 +194,11 @@
         [CapabilityEntry(**item) for item in data.get("entries", [])],
         [Tenant(**item) for item in data.get("tenants", [])],
         Limits(**data.get("limits", {})),
+        [
+            Route(**{**item, "splits": [Split(**split) for split in item["splits"]]})
+            for item in data.get("routes", [])
+        ],
+        data.get("source", ""),
     )
 
 
