--- a/src/pearhead/lathe/errors.py
+++ b/src/pearhead/lathe/errors.py
@@ -16,6 +16,7 @@
     NOT_ENTITLED = "not_entitled"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_KIND = "unknown_kind"
+    UNKNOWN_ROUTE = "unknown_route"
     TOO_LARGE = "too_large"
     DEADLINE_PASSED = "deadline_passed"
     TENANT_BUSY = "tenant_busy"
@@ -43,6 +44,7 @@
     ErrorKind.NOT_ENTITLED: ErrorResult(403, NOT_RUN, 0),
     ErrorKind.UNKNOWN_MODEL: ErrorResult(404, NOT_RUN, 0),
     ErrorKind.UNKNOWN_KIND: ErrorResult(404, NOT_RUN, 0),
+    ErrorKind.UNKNOWN_ROUTE: ErrorResult(404, NOT_RUN, 0),
     ErrorKind.TOO_LARGE: ErrorResult(413, NOT_RUN, 0),
     ErrorKind.DEADLINE_PASSED: ErrorResult(408, NOT_RUN, 1),
     ErrorKind.TENANT_BUSY: ErrorResult(429, NOT_RUN, 1),
--- /dev/null
+++ b/src/pearhead/lathe/gate.py
@@ -0,0 +1,374 @@
+"""Gate (§8.7): the way of an opaque request through a node, read from top to bottom in `serve`."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import picologging
+from result import Err, Ok, Result
+from tornado.httputil import HTTPHeaders
+
+from pearhead.awl.clock import MILLI, SECOND, Clock
+from pearhead.awl.description import Route, Tenant
+from pearhead.awl.view import View
+from pearhead.lathe.errors import ErrorKind, Refusal
+from pearhead.lathe.event_stream import EventSplitter
+from pearhead.lathe.fleet_budget import FleetBudget
+from pearhead.lathe.load_book import LoadBook
+from pearhead.lathe.opaque import AnswerHead, AnswerPen, Dialect, Directions, OpaqueRequest, Verdict
+from pearhead.lathe.placer import Choice, Placer
+from pearhead.lathe.upstream import UpstreamCall, UpstreamPool
+
+LOGGER = picologging.getLogger("pearhead")
+ANSWER_MEMORY = 4 * 1024 * 1024
+HOP_HEADERS = ("connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade",
+               "proxy-connection", "proxy-authenticate")
+SOON_MICROS = 120 * MILLI
+NO_TRIES_MICROS = 250 * MILLI
+MOST_PLACEMENTS = 6
+
+
+class CurrentView(Protocol):
+    """What is in force, as far as this node knows (§5.5)."""
+
+    def view(self) -> View | None:
+        """None while the node may not serve by what it knows."""
+
+
+@dataclass
+class Passage:
+    """One request on its way. `may_have_run`: a worker may have begun it; `has_begun`: the caller has a head."""
+
+    request: OpaqueRequest
+    pen: AnswerPen
+    splitter: EventSplitter
+    deadline_micros: int = 0
+    tries: int = 0
+    placements: int = 0
+    may_have_run: bool = False
+    had_run: bool = False
+    has_begun: bool = False
+    is_done: bool = False
+    tried: set[str] = field(default_factory=set)
+    retry_micros: int = SOON_MICROS
+
+
+@dataclass(frozen=True)
+class Way:
+    view: View
+    route: Route
+    tenant: Tenant | None
+
+
+class Gate:
+    def __init__(
+        self, clock: Clock, current: CurrentView, placer: Placer, loads: LoadBook, pool: UpstreamPool,
+        budget: FleetBudget, dialect: Dialect, node_count: Callable[[], int],
+        note_versions: Callable[[str, AnswerHead], None],
+    ) -> None:
+        self.clock = clock
+        self.current = current
+        self.placer = placer
+        self.loads = loads
+        self.pool = pool
+        self.budget = budget
+        self.dialect = dialect
+        self.node_count = node_count
+        self.note_versions = note_versions
+        self.open_requests = 0
+        self.outcomes: dict[str, int] = {}
+
+    async def serve(self, request: OpaqueRequest, pen: AnswerPen) -> None:
+        """Ends with a whole answer, a refusal, or an aborted connection; nothing is left open behind it."""
+        passage = Passage(request, pen, EventSplitter(request.last_event_id))
+        self.open_requests += 1
+        try:
+            looked = self._look(request)
+            if isinstance(looked, Err):
+                return self._refuse(passage, looked.err_value)
+            way = looked.ok_value
+            wait_micros = min(request.wait_micros or way.route.deadline_micros, way.route.deadline_micros)
+            passage.deadline_micros = request.arrived_micros + wait_micros
+            self.budget.pay_in(way.route.splits[0].service, self.node_count())
+            last = Refusal(ErrorKind.NO_WORKER, "no worker took it", passage.retry_micros)
+            while not passage.is_done:
+                if pen.is_gone():
+                    return self._count("caller_gone")
+                left_micros = passage.deadline_micros - self.clock.now()
+                if left_micros <= 0:
+                    last = Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
+                    break
+                looked = self._look(request)
+                if isinstance(looked, Err):
+                    last = looked.err_value
+                    break
+                way = looked.ok_value
+                if not self._may_try(passage, way.route):
+                    break
+                chosen = self.placer.choose(way.view, way.route, request, way.tenant, frozenset(passage.tried))
+                if isinstance(chosen, Err):
+                    last = chosen.err_value
+                    break
+                last = await self._carry(passage, way, chosen.ok_value)
+            if not passage.is_done:
+                self._give_up(passage, last)
+        finally:
+            self.open_requests -= 1
+
+    # ---- what is in force ------------------------------------------------------------------------
+
+    def _look(self, request: OpaqueRequest) -> Result[Way, Refusal]:
+        view = self.current.view()
+        if view is None:
+            return Err(Refusal(ErrorKind.NOT_CURRENT, "this node does not know what is in force", 500 * MILLI))
+        limits = view.description.limits
+        if limits.body_bytes and len(request.body) > limits.body_bytes:
+            return Err(Refusal(ErrorKind.TOO_LARGE, "the body is over the limit"))
+        route = view.route_of(request.host, request.path)
+        if route is None:
+            return Err(Refusal(ErrorKind.UNKNOWN_ROUTE, "no route for this host and path"))
+        tenant = view.tenantByHash.get(request.key_hash) if request.key_hash else None
+        if tenant is None and view.description.tenants and not route.public:
+            return Err(Refusal(ErrorKind.BAD_KEY, "no tenant has this key"))
+        return Ok(Way(view, route, tenant))
+
+    def _may_try(self, passage: Passage, route: Route) -> bool:
+        if passage.placements >= MOST_PLACEMENTS:
+            return False
+        if passage.tries == 0:
+            return True
+        if passage.tries >= max(route.tries, 1):
+            return False
+        if passage.may_have_run and not _may_repeat(route):
+            return False
+        return self.budget.take_out(route.splits[0].service, self.node_count())
+
+    # ---- one worker --------------------------------------------------------------------------------
+
+    async def _carry(self, passage: Passage, way: Way, choice: Choice) -> Refusal:
+        """Sends it to one worker. What it returns is told if nobody else takes it."""
+        request, worker = passage.request, choice.backend.name
+        passage.placements += 1
+        left_micros = passage.deadline_micros - self.clock.now()
+        called = await self.pool.call(choice.backend.address, left_micros)
+        if isinstance(called, Err):
+            passage.tried.add(worker)
+            self.loads.take_fault(worker)
+            return Refusal(ErrorKind.NO_WORKER, "a worker could not be reached", passage.retry_micros)
+        call = called.ok_value
+        held_tokens = request.prompt_tokens() + request.output_tokens
+        waiting = _Waiting(self.loads, worker, choice.missing_tokens, held_tokens)
+        try:
+            looked = self._look(request)
+            if isinstance(looked, Err) or looked.ok_value.route.splits != way.route.splits or not self.placer.stands(
+                looked.ok_value.view, choice, request.line
+            ):
+                # It was placed by what is not in force any more; nothing was sent (§8.4).
+                return Refusal(ErrorKind.NO_WORKER, "what was placed does not stand", SOON_MICROS)
+            tenant = looked.ok_value.tenant
+            directions = Directions(
+                left_micros=passage.deadline_micros - self.clock.now(), worker=worker,
+                tenant=tenant.name if tenant is not None else "", urgency=_urgency(way.route, tenant),
+                version=choice.version, salt=choice.salt, fetch_from=choice.fetch_from, save_to=choice.save_to,
+                last_event_id=passage.splitter.last_id,
+            )
+            headers = self.dialect.outgoing_headers(request, directions)
+            sent_micros = self.clock.now()
+            passage.tries += 1
+            passage.tried.add(worker)
+            passage.had_run = passage.may_have_run
+            passage.may_have_run = True
+            waiting.begin()
+            call.send(request.method, request.target, headers, request.body)
+            return await self._relay(passage, way, choice, directions, call, waiting, sent_micros)
+        except TimeoutError:
+            return Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
+        finally:
+            waiting.end()
+            await call.close()
+
+    async def _relay(
+        self, passage: Passage, way: Way, choice: Choice, directions: Directions, call: UpstreamCall,
+        waiting: _Waiting, sent_micros: int,
+    ) -> Refusal:
+        request, worker = passage.request, choice.backend.name
+        found = await call.head(passage.deadline_micros - self.clock.now())
+        if found is None:
+            self.loads.take_fault(worker)
+            return Refusal(ErrorKind.OUTCOME_UNKNOWN, "the worker broke off")
+        head = self.dialect.read_head(request, directions, *found)
+        if head.verdict is not Verdict.FOREIGN:
+            self.note_versions(worker, head)
+        if head.verdict in (Verdict.NOT_RUN, Verdict.OTHER_WORKER, Verdict.OTHER_VERSION):
+            # This one did not; an earlier one may have.
+            passage.may_have_run = passage.had_run
+            if head.verdict is Verdict.OTHER_WORKER:
+                self.loads.take_fault(worker)
+            return Refusal(ErrorKind.NO_WORKER, f"a worker turned it away with {head.status}", passage.retry_micros)
+        if head.verdict is Verdict.FOREIGN:
+            call.headers = None  # Nothing more is read on this connection (§8.9).
+            self.loads.take_fault(worker)
+            return Refusal(ErrorKind.OUTCOME_UNKNOWN, "the worker answered something else")
+        if head.verdict is Verdict.FAILURE:
+            return await self._pass_failure(passage, way, head, call, worker)
+        if way.route.stream:
+            return await self._pass_stream(passage, choice, head, call, waiting, sent_micros)
+        return await self._pass_whole(passage, head, call, worker)
+
+    async def _pass_stream(
+        self, passage: Passage, choice: Choice, head: AnswerHead, call: UpstreamCall, waiting: _Waiting,
+        sent_micros: int,
+    ) -> Refusal:
+        """Event by event as they come; each only when it is whole."""
+        worker, pen = choice.backend.name, passage.pen
+        if passage.has_begun:
+            passage.splitter.go_on_elsewhere()
+        async for chunk in call.chunks(lambda: passage.deadline_micros - self.clock.now()):
+            if pen.is_gone():
+                passage.is_done = True
+                self._count("caller_gone")
+                return Refusal(ErrorKind.OUTCOME_UNKNOWN)
+            events = passage.splitter.feed(chunk)
+            if not events:
+                continue
+            if waiting.is_waiting:
+                waiting.first_event()
+                self.loads.learn_pace(worker, choice.expected_micros, self.clock.now() - sent_micros)
+            if not passage.has_begun:
+                passage.has_begun = True
+                pen.begin(head.status, head.reason, _passed_on(head.headers))
+            pen.write(events)
+        if not call.is_whole() or passage.splitter.pending:
+            self.loads.take_fault(worker)
+            return Refusal(ErrorKind.OUTCOME_UNKNOWN, "the stream was cut")
+        if not passage.has_begun:
+            passage.has_begun = True
+            pen.begin(head.status, head.reason, _passed_on(head.headers))
+        pen.finish()
+        passage.is_done = True
+        self.loads.take_success(worker)
+        self._count("done")
+        return Refusal(ErrorKind.OUTCOME_UNKNOWN)
+
+    async def _pass_whole(self, passage: Passage, head: AnswerHead, call: UpstreamCall, worker: str) -> Refusal:
+        """Gathered first, so that a cut one can still become a failure or another try."""
+        gathered = await self._gather(passage, call)
+        if gathered is None:
+            self.loads.take_fault(worker)
+            return Refusal(ErrorKind.OUTCOME_UNKNOWN, "the answer was cut")
+        self._write_whole(passage, head, gathered)
+        self.loads.take_success(worker)
+        self._count("done")
+        return Refusal(ErrorKind.OUTCOME_UNKNOWN)
+
+    async def _pass_failure(
+        self, passage: Passage, way: Way, head: AnswerHead, call: UpstreamCall, worker: str
+    ) -> Refusal:
+        """A worker's own failure counts as run: another try where that may be, else it goes to the caller as it is."""
+        if head.status >= 500:
+            self.loads.take_fault(worker)
+        gathered = await self._gather(passage, call)
+        if passage.has_begun or gathered is None or (
+            head.status >= 500 and _may_repeat(way.route) and passage.tries < way.route.tries
+        ):
+            return Refusal(ErrorKind.OUTCOME_UNKNOWN, f"the worker failed with {head.status}")
+        self._write_whole(passage, head, gathered)
+        self._count(f"worker_{head.status}")
+        return Refusal(ErrorKind.OUTCOME_UNKNOWN)
+
+    async def _gather(self, passage: Passage, call: UpstreamCall) -> bytes | None:
+        gathered = b""
+        async for chunk in call.chunks(lambda: passage.deadline_micros - self.clock.now()):
+            gathered += chunk
+            if len(gathered) > ANSWER_MEMORY:
+                return None
+        return gathered if call.is_whole() else None
+
+    def _write_whole(self, passage: Passage, head: AnswerHead, body: bytes) -> None:
+        headers = _passed_on(head.headers)
+        headers["Content-Length"] = str(len(body))
+        passage.has_begun = passage.is_done = True
+        passage.pen.begin(head.status, head.reason, headers)
+        if body:
+            passage.pen.write(body)
+        passage.pen.finish()
+
+    # ---- ends --------------------------------------------------------------------------------------
+
+    def _give_up(self, passage: Passage, last: Refusal) -> None:
+        if passage.has_begun:
+            # The caller has a part of a stream: it must not look whole.
+            self._count("cut")
+            passage.pen.abort()
+        elif passage.may_have_run:
+            self._refuse(passage, Refusal(ErrorKind.OUTCOME_UNKNOWN, last.detail))
+        elif last.kind is ErrorKind.OUTCOME_UNKNOWN:
+            self._refuse(passage, Refusal(ErrorKind.NO_WORKER, last.detail, passage.retry_micros))
+        else:
+            self._refuse(passage, last)
+
+    def _refuse(self, passage: Passage, refusal: Refusal) -> None:
+        self._count(refusal.kind.value)
+        if passage.pen.is_gone():
+            return
+        status, headers, body = self.dialect.refusal(passage.request, refusal)
+        headers["Content-Length"] = str(len(body))
+        passage.is_done = True
+        passage.pen.begin(status, "", headers)
+        if body:
+            passage.pen.write(body)
+        passage.pen.finish()
+
+    def _count(self, outcome: str) -> None:
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
+
+class _Waiting:
+    """What one request adds to a worker's use, and takes back in any case."""
+
+    def __init__(self, loads: LoadBook, worker: str, missing_tokens: int, held_tokens: int) -> None:
+        self.loads = loads
+        self.worker = worker
+        self.missing_tokens = missing_tokens
+        self.held_tokens = held_tokens
+        self.is_waiting = False
+        self.is_running = False
+
+    def begin(self) -> None:
+        self.is_waiting = self.is_running = True
+        self.loads.begin(self.worker, self.missing_tokens, self.held_tokens)
+
+    def first_event(self) -> None:
+        self.is_waiting = False
+        self.loads.first_event(self.worker, self.missing_tokens)
+
+    def end(self) -> None:
+        if self.is_running:
+            self.is_running = False
+            self.loads.end(self.worker, self.missing_tokens if self.is_waiting else 0, self.held_tokens)
+
+
+def hash_key(key: str) -> str:
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+def _may_repeat(route: Route) -> bool:
+    return route.repeatable or (route.stream and route.resumable)
+
+
+def _urgency(route: Route, tenant: Tenant | None) -> int:
+    """The tenant's rank goes before the route's, within 0 to 9."""
+    return min(9, 2 * min(tenant.urgency if tenant is not None else 2, 4) + min(route.urgency, 1))
+
+
+def _passed_on(headers: HTTPHeaders) -> HTTPHeaders:
+    dropped = set(HOP_HEADERS) | {name.strip().lower() for name in headers.get("Connection", "").split(",")}
+    passed = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name.lower() not in dropped:
+            passed.add(name, value)
+    return passed
--- /dev/null
+++ b/src/pearhead/lathe/gateway.py
@@ -0,0 +1,163 @@
+"""GatewayProcess (§8.7): a front node for opaque requests, put together from its controllers."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import picologging
+
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.crew import Crew
+from pearhead.awl.directory import Directory
+from pearhead.awl.net import Net
+from pearhead.awl.startup import Startup
+from pearhead.awl.view import View
+from pearhead.awl.wire_pb2 import Record, UseNote
+from pearhead.lathe.fleet_budget import FleetBudget
+from pearhead.lathe.gate import Gate
+from pearhead.lathe.kept_gatherer import KeptGatherer
+from pearhead.lathe.kept_index import KeptIndex
+from pearhead.lathe.load_book import LoadBook
+from pearhead.lathe.opaque import AnswerHead, Dialect
+from pearhead.lathe.part_salt import PartSalt
+from pearhead.lathe.placer import Placer
+from pearhead.lathe.roll_out import RollOutController
+from pearhead.lathe.roster import Roster, RosterKeeper
+from pearhead.lathe.term import TermKeeper
+from pearhead.lathe.upstream import UpstreamPool
+from pearhead.lathe.version_book import VersionBook
+from pearhead.lathe.weights_clock import WeightsClock
+from pearhead.lathe.worker_control import WorkerControl
+from pearhead.rasp.listener import Listener
+
+LOGGER = picologging.getLogger("pearhead")
+USE_MICROS = 50 * MILLI
+USE_REPEAT_MICROS = 600 * MILLI
+SWEEP_MICROS = SECOND
+
+
+@dataclass(frozen=True)
+class GatewaySettings:
+    """`serve_on_micros`: how long a node serves by a view that it could not confirm since (§5.5)."""
+
+    retry_ratio: float = 0.1
+    retry_slack: int = 10
+    retry_window_micros: int = 10 * SECOND
+    serve_on_micros: int = 60 * SECOND
+    beat_micros: int = 1_200 * MILLI
+
+
+class GatewayProcess:
+    def __init__(
+        self, startup: Startup, settings: GatewaySettings, clock: Clock, net: Net, control: WorkerControl,
+        dialect: Dialect, chance: random.Random,
+    ) -> None:
+        self.startup = startup
+        self.settings = settings
+        self.clock = clock
+        self.crew = Crew("lathe")
+        self.identity = chance.randbytes(12).hex()
+        self.courier = Courier(self.identity, startup.address, net, clock)
+        record = Record(identity=self.identity, address=startup.address, role="lathe", area=startup.area,
+                        httpAddress=startup.httpAddress)
+        self.directory = Directory(record, startup.seeds, self.courier, clock, chance)
+        self.keeper = TermKeeper(self.courier, self.directory, clock, chance, self.crew, startup.termMicros)
+        self.listener = Listener(
+            self.courier, self.directory, clock, chance, self.crew, startup.tableLifetimeMicros
+        )
+        self.loads = LoadBook(clock)
+        self.index = KeptIndex()
+        self.versions = VersionBook(self.courier, clock)
+        self.weights = WeightsClock(clock, self.keeper, startup.oldWeightsMicros)
+        self.roster_keeper = RosterKeeper(
+            self.identity, self.courier, self.directory, clock, chance, self.crew, control, settings.beat_micros,
+            self.keeper,
+        )
+        self.gatherer = KeptGatherer(
+            self.identity, self.courier, self.directory, clock, self.crew, control, self.roster_keeper, self.keeper,
+            self.index,
+        )
+        self.roll_out = RollOutController(
+            self.identity, self.courier, self.directory, clock, chance, self.crew, control, self.roster_keeper,
+            self.keeper, self.versions, self.listener, startup.holdMicros,
+        )
+        self.pool = UpstreamPool(clock)
+        self.placer = Placer(
+            clock, startup.area, lambda: self.roster_keeper.roster, self.versions, self.index, self.loads,
+            PartSalt(self.listener), self.weights.may_use,
+        )
+        budget = FleetBudget(clock, settings.retry_ratio, settings.retry_slack, settings.retry_window_micros)
+        self.gate = Gate(
+            clock, self, self.placer, self.loads, self.pool, budget, dialect, self._node_count, self._note_versions
+        )
+        self.is_draining = False
+        self.courier.on_tell("use_note", self._take_use)
+
+    def start(self) -> None:
+        for work in (
+            self.directory.run(), self.keeper.run(), self.listener.run(), self.roster_keeper.run(),
+            self.gatherer.run(), self.roll_out.run(), self._tell_use(), self._sweep(),
+        ):
+            self.crew.start(work)
+        LOGGER.info("lathe: Node %s listens on %s.", self.identity[:8], self.startup.address)
+
+    def stop(self) -> None:
+        self.crew.stop()
+        self.courier.stop()
+
+    async def drain(self, least_micros: int) -> None:
+        """Goes on serving for a while, as callers still come; then waits for what is open."""
+        self.is_draining = True
+        end_micros = self.clock.now() + self.startup.drainMicros
+        least_end = self.clock.now() + least_micros
+        while self.clock.now() < least_end or (self.gate.open_requests and self.clock.now() < end_micros):
+            await rest(self.clock, 20 * MILLI)
+
+    def is_ready(self) -> bool:
+        """Knows what is in force, and a worker; a draining node takes no new connections."""
+        return not self.is_draining and self.view() is not None and bool(self.roster_keeper.roster.backends)
+
+    def view(self) -> View | None:
+        """What is in force as last known: serves on for a bounded time without the cores (§5.5)."""
+        keeper = self.keeper
+        if not keeper.hasView or keeper.view.number == 0:
+            return None
+        is_known = self.clock.now() - keeper.currentAt <= self.settings.serve_on_micros
+        return keeper.view if is_known else None
+
+    def _node_count(self) -> int:
+        return len(self.directory.members("lathe")) + 1
+
+    def _note_versions(self, worker: str, head: AnswerHead) -> None:
+        for line, version in head.versions.items():
+            self.versions.note_version(worker, line, version)
+
+    def _take_use(self, identity: str, address: str, note: UseNote) -> None:
+        self.loads.take(identity, note)
+
+    async def _tell_use(self) -> None:
+        """What this node has at workers, to all nodes, when it changed and now and then (§8.8)."""
+        told_micros = 0
+        while True:
+            await rest(self.clock, USE_MICROS)
+            now_micros = self.clock.now()
+            if self.loads.is_changed or (self.loads.own and now_micros - told_micros > USE_REPEAT_MICROS):
+                told_micros = now_micros
+                addresses = [r.address for r in self.directory.members("lathe")]
+                if addresses:
+                    self.courier.cast(addresses, "use_note", self.loads.note())
+
+    async def _sweep(self) -> None:
+        known: dict[str, str] = {}
+        while True:
+            await rest(self.clock, SWEEP_MICROS)
+            self.pool.sweep()
+            backends: Roster = self.roster_keeper.roster
+            now_known = {name: backend.address for name, backend in backends.backends.items()}
+            for name, address in known.items():
+                if name not in now_known:
+                    self.pool.forget(address)
+                    self.index.forget(name)
+            known = now_known
--- /dev/null
+++ b/src/pearhead/lathe/kept_index.py
@@ -0,0 +1,71 @@
+"""KeptIndex (§6.5): which worker or store keeps which parts under which salt, by what they reported."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from pearhead.awl.wire_pb2 import KeptNote
+from pearhead.lathe.opaque import PromptPart
+
+PARTS_LIMIT = 60_000
+
+
+class KeptIndex:
+    """A keeper is a worker's or a store's name. What was not reported is not known; what was may be gone."""
+
+    def __init__(self) -> None:
+        self.parts: dict[str, OrderedDict[tuple[str, str], int]] = {}
+        self.sequences: dict[str, tuple[str, int]] = {}
+        self.keepers: dict[tuple[str, str], set[str]] = {}
+
+    def take(self, note: KeptNote) -> None:
+        life, sequence = self.sequences.get(note.worker, ("", 0))
+        if note.whole or life != note.life:
+            self.forget(note.worker)
+        elif note.sequence <= sequence:
+            return
+        elif note.from_sequence > sequence:
+            # A gap: what was dropped in it is not known (§6.5).
+            self.forget(note.worker)
+        self.sequences[note.worker] = (note.life, note.sequence)
+        held = self.parts.setdefault(note.worker, OrderedDict())
+        for part in note.part:
+            key = (part.salt, part.part)
+            if part.tokens:
+                held[key] = part.tokens
+                held.move_to_end(key)
+                self.keepers.setdefault(key, set()).add(note.worker)
+                if len(held) > PARTS_LIMIT:
+                    oldest, _ = held.popitem(last=False)
+                    self._let_go(oldest, note.worker)
+            elif held.pop(key, None) is not None:
+                self._let_go(key, note.worker)
+
+    def forget(self, keeper: str) -> None:
+        for key in self.parts.pop(keeper, ()):
+            self._let_go(key, keeper)
+        self.sequences.pop(keeper, None)
+
+    def kept_tokens(self, keeper: str, salt: str, parts: Sequence[PromptPart]) -> int:
+        """How many tokens of the prompt it keeps from its beginning: a part counts only behind all before it."""
+        held = self.parts.get(keeper)
+        if not held:
+            return 0
+        total = 0
+        for part in parts:
+            tokens = held.get((salt, part.part), 0)
+            total += min(tokens, part.tokens)
+            if tokens < part.tokens:
+                break
+        return total
+
+    def keepers_of(self, salt: str, part: str) -> frozenset[str]:
+        return frozenset(self.keepers.get((salt, part), ()))
+
+    def _let_go(self, key: tuple[str, str], keeper: str) -> None:
+        keepers = self.keepers.get(key)
+        if keepers is not None:
+            keepers.discard(keeper)
+            if not keepers:
+                del self.keepers[key]
--- /dev/null
+++ b/src/pearhead/lathe/weights_clock.py
@@ -0,0 +1,33 @@
+"""WeightsClock (§7.4): how long weights may still be used after newer ones were named."""
+
+from __future__ import annotations
+
+from pearhead.awl.clock import Clock
+from pearhead.awl.view import View
+from pearhead.lathe.term import TermKeeper
+
+
+class WeightsClock:
+    """The first naming after a version counts, and from when this node last knew of none: before it was acknowledged."""
+
+    def __init__(self, clock: Clock, keeper: TermKeeper, old_micros: int) -> None:
+        self.clock = clock
+        self.keeper = keeper
+        self.old_micros = old_micros
+        self.seen_view: View | None = None
+        self.named_at: dict[tuple[str, int], int] = {}
+
+    def may_use(self, view: View, line: str, version: int) -> bool:
+        if view is not self.seen_view:
+            self._note(view)
+        superseded = min((
+            at for (named_line, named), at in self.named_at.items() if named_line == line and named > version
+        ), default=None)
+        return superseded is None or self.clock.now() - superseded < self.old_micros
+
+    def _note(self, view: View) -> None:
+        self.seen_view = view
+        for line, fact in view.weights.items():
+            if fact.weights.isdigit():
+                at_micros = self.keeper.namedAfter.get((line, fact.revision), self.clock.now())
+                self.named_at.setdefault((line, int(fact.weights)), at_micros)
--- a/src/pearhead/rasp/listener.py
+++ b/src/pearhead/rasp/listener.py
@@ -87,6 +87,11 @@
             return state.heard[part][0]
         return state.tableRevisions.get(part, 1)
 
+    def last_revision_of(self, owner: str, line: str, part: int) -> int:
+        """The last that was known, current or not; good only where a worker checks what it runs on (§6.7)."""
+        state = self._use(owner, line)
+        return state.heard[part][0] if part in state.heard else state.tableRevisions.get(part, 1)
+
     async def bump(self, owner: str, line: str, part: int) -> int | None:
         """Asks the serializer for the next revision; goes on with plus one until the answer is here."""
         state = self._use(owner, line)
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,246 @@
+"""Gate: what a caller is told, and how often a worker may be sent a request, for every way that it may go."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from result import Err, Ok, Result
+from tornado.httputil import HTTPHeaders
+
+from pearhead.awl.bench import Bench
+from pearhead.awl.clock import SECOND
+from pearhead.awl.description import Description, Route, Split, Tenant
+from pearhead.awl.view import View
+from pearhead.lathe.errors import ERROR_TABLE, ErrorKind, Refusal
+from pearhead.lathe.fleet_budget import FleetBudget
+from pearhead.lathe.gate import Gate, hash_key
+from pearhead.lathe.load_book import LoadBook
+from pearhead.lathe.opaque import AnswerHead, Directions, OpaqueRequest, Verdict
+from pearhead.lathe.placer import Choice
+from pearhead.lathe.worker_control import Backend
+
+EVENTS = [b"id: %d\ndata: x\n\n" % n for n in range(1, 4)]
+HEAD = (200, "OK", HTTPHeaders({"Seal": "s", "Connection": "keep-alive"}))
+STREAM = {"stream": True}
+RESUMABLE = {"stream": True, "resumable": True}
+
+
+class FakeCall:
+    """One worker's answer: a head or None, chunks, whether it was whole. `late`: silent until the deadline."""
+
+    def __init__(self, head: Any, chunks: tuple[bytes, ...] = (), whole: bool = True, late: bool = False) -> None:
+        self.found, self.given, self.whole, self.late = head, chunks, whole, late
+        self.headers: HTTPHeaders | None = None
+        self.sent: list[HTTPHeaders] = []
+        self.is_closed = False
+
+    def send(self, method: str, target: str, headers: HTTPHeaders, body: bytes) -> None:
+        self.sent.append(headers)
+
+    async def head(self, limit_micros: int) -> Any:
+        if self.late:
+            raise TimeoutError
+        return self.found
+
+    async def chunks(self, limit: Callable[[], int]) -> AsyncIterator[bytes]:
+        for chunk in self.given:
+            yield chunk
+
+    def is_whole(self) -> bool:
+        return self.whole
+
+    async def close(self) -> None:
+        self.is_closed = True
+
+
+class FakePool:
+    def __init__(self, calls: list[FakeCall | None]) -> None:
+        self.calls = list(calls)
+        self.used: list[FakeCall] = []
+
+    async def call(self, address: str, limit_micros: int) -> Result[Any, str]:
+        found = self.calls.pop(0)
+        if found is None:
+            return Err("no connection")
+        self.used.append(found)
+        return Ok(found)
+
+
+class FakePlacer:
+    def __init__(self) -> None:
+        self.does_stand = True
+        self.chosen: list[str] = []
+
+    def choose(
+        self, view: View, route: Route, request: OpaqueRequest, tenant: Tenant | None, excluded: frozenset[str]
+    ) -> Result[Choice, Refusal]:
+        free = [n for n in ("w1", "w2", "w3") if n not in excluded]
+        if not free:
+            return Err(Refusal(ErrorKind.NO_WORKER))
+        self.chosen.append(free[0])
+        backend = Backend(free[0], "127.0.0.1:1", "z", "s", 4, False, {"l": 2}, 0)
+        return Ok(Choice(backend, "s", 2, "salt", 0, 10, "", "", 1_000))
+
+    def stands(self, view: View, choice: Choice, line: str) -> bool:
+        return self.does_stand
+
+
+class FakeDialect:
+    def outgoing_headers(self, request: OpaqueRequest, directions: Directions) -> HTTPHeaders:
+        return HTTPHeaders({"Tenant": directions.tenant, "Last": directions.last_event_id})
+
+    def read_head(
+        self, request: OpaqueRequest, directions: Directions, status: int, reason: str, headers: HTTPHeaders
+    ) -> AnswerHead:
+        verdict = {200: Verdict.SUCCESS, 503: Verdict.NOT_RUN, 421: Verdict.OTHER_WORKER, 299: Verdict.FOREIGN}
+        return AnswerHead(status, reason, headers, verdict.get(status, Verdict.FAILURE), {})
+
+    def refusal(self, request: OpaqueRequest | None, refusal: Refusal) -> tuple[int, HTTPHeaders, bytes]:
+        return ERROR_TABLE[refusal.kind].status, HTTPHeaders(), b"{}"
+
+
+class FakePen:
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.body = b""
+        self.end = ""
+
+    def begin(self, status: int, reason: str, headers: HTTPHeaders) -> None:
+        assert not self.status, "two heads"
+        self.status, self.headers = status, headers
+
+    def write(self, chunk: bytes) -> None:
+        self.body += chunk
+
+    def finish(self) -> None:
+        self.end = "whole"
+
+    def abort(self) -> None:
+        self.end = "cut"
+
+    def is_gone(self) -> bool:
+        return False
+
+
+class FakeCurrent:
+    def __init__(self, view: View | None) -> None:
+        self.held = view
+
+    def view(self) -> View | None:
+        return self.held
+
+
+def make_view(**fields: Any) -> View:
+    route = Route("r", "h", "/a/", [Split("s", 1)], 5 * SECOND, **{"tries": 2, **fields})
+    view = View()
+    view.__dict__["description"] = Description(
+        tenants=[Tenant("t", [hash_key("k")])], routes=[route]
+    )
+    return view
+
+
+class GateTest(unittest.IsolatedAsyncioTestCase):
+    async def pass_through(
+        self, calls: list[FakeCall | None], key: str = "k", path: str = "/a/x", **fields: Any
+    ) -> FakePen:
+        bench = Bench()
+        self.pool, self.placer, self.pen = FakePool(calls), getattr(self, "placer", FakePlacer()), FakePen()
+        self.loads = LoadBook(bench)
+        self.gate = Gate(
+            bench, FakeCurrent(make_view(**fields)), self.placer, self.loads, self.pool,  # type: ignore[arg-type]
+            FleetBudget(bench, 0.2, 50, 10 * SECOND), FakeDialect(), lambda: 1, lambda worker, head: None,
+        )
+        request = OpaqueRequest("id", "POST", path, "h", path, HTTPHeaders(), b"", bench.now(), hash_key(key))
+        await self.gate.serve(request, self.pen)
+        self.assertEqual(self.loads.own, {}, "use was not taken back")
+        self.assertTrue(all(call.is_closed for call in self.pool.used))
+        return self.pen
+
+    def told(self) -> tuple[int, str, int]:
+        return self.pen.status, self.pen.end, len(self.pool.used)
+
+    async def test_a_whole_stream_goes_through_unchanged(self) -> None:
+        chunks = (b"".join(EVENTS)[:7], b"".join(EVENTS)[7:])
+        await self.pass_through([FakeCall(HEAD, chunks)], **STREAM)
+        self.assertEqual((self.told(), self.pen.body), ((200, "whole", 1), b"".join(EVENTS)))
+        self.assertEqual((self.pen.headers.get("Seal"), self.pen.headers.get("Connection")), ("s", None))
+        self.assertEqual(self.pool.used[0].sent[0]["Tenant"], "t")
+
+    async def test_a_cut_stream_never_looks_whole_and_runs_once(self) -> None:
+        await self.pass_through([FakeCall(HEAD, (EVENTS[0], EVENTS[1][:3]), whole=False)], **STREAM)
+        self.assertEqual((self.told(), self.pen.body), ((200, "cut", 1), EVENTS[0]))
+
+    async def test_a_stream_that_ends_inside_an_event_is_cut(self) -> None:
+        await self.pass_through([FakeCall(HEAD, (EVENTS[0], EVENTS[1][:3]))], **STREAM)
+        self.assertEqual(self.told(), (200, "cut", 1))
+
+    async def test_a_resumable_stream_goes_on_elsewhere_in_the_same_answer(self) -> None:
+        cut = FakeCall(HEAD, (EVENTS[0], EVENTS[1][:3]), whole=False)
+        await self.pass_through([cut, FakeCall(HEAD, tuple(EVENTS[1:]))], **RESUMABLE)
+        self.assertEqual((self.told(), self.pen.body), ((200, "whole", 2), b"".join(EVENTS)))
+        self.assertEqual(self.pool.used[1].sent[0]["Last"], "1")
+        self.assertEqual(self.placer.chosen, ["w1", "w2"])
+
+    async def test_a_resumed_stream_that_fails_too_is_cut(self) -> None:
+        cut = FakeCall(HEAD, (EVENTS[0],), whole=False)
+        for second in (FakeCall((503, "", HTTPHeaders())), FakeCall((500, "", HTTPHeaders())), FakeCall(None)):
+            self.placer = FakePlacer()
+            await self.pass_through([cut, second], **RESUMABLE)
+            self.assertEqual((self.told(), self.pen.body), ((200, "cut", 2), EVENTS[0]))
+
+    async def test_what_may_have_run_is_never_refused_nor_sent_again(self) -> None:
+        for lost in (FakeCall(None), FakeCall((299, "", HTTPHeaders())), FakeCall(HEAD, late=True),
+                     FakeCall(HEAD, (b"part",), whole=False)):
+            self.placer = FakePlacer()
+            await self.pass_through([lost, FakeCall(HEAD)])
+            self.assertEqual(self.told(), (502, "whole", 1))
+
+    async def test_what_may_be_repeated_is_sent_again_within_its_tries(self) -> None:
+        await self.pass_through([FakeCall(None), FakeCall(HEAD, (b"ok",))], repeatable=True)
+        self.assertEqual((self.told(), self.pen.body), ((200, "whole", 2), b"ok"))
+        self.placer = FakePlacer()
+        await self.pass_through([FakeCall(None), FakeCall(None), FakeCall(HEAD)], repeatable=True)
+        self.assertEqual(self.told(), (502, "whole", 2))
+
+    async def test_turned_away_by_all_is_a_promise_that_it_did_not_run(self) -> None:
+        away = [FakeCall((503, "", HTTPHeaders())), FakeCall((421, "", HTTPHeaders()))]
+        await self.pass_through(list(away))
+        self.assertEqual(self.told(), (503, "whole", 2))
+        self.placer = FakePlacer()
+        await self.pass_through([FakeCall((503, "", HTTPHeaders())), FakeCall(HEAD)], tries=1)
+        self.assertEqual(self.told(), (503, "whole", 1), "the most workers that one request may be sent to")
+
+    async def test_turned_away_after_it_may_have_run_is_no_promise(self) -> None:
+        await self.pass_through([FakeCall(None), FakeCall((503, "", HTTPHeaders()))], repeatable=True)
+        self.assertEqual(self.told(), (502, "whole", 2))
+
+    async def test_a_dead_port_costs_no_try(self) -> None:
+        await self.pass_through([None, FakeCall(HEAD, (b"ok",))], tries=1)
+        self.assertEqual(self.told(), (200, "whole", 1))
+
+    async def test_a_choice_that_stands_no_more_sends_nothing(self) -> None:
+        self.placer = FakePlacer()
+        self.placer.does_stand = False
+        await self.pass_through([FakeCall(HEAD) for _ in range(9)])
+        self.assertEqual(self.pen.status, 503)
+        self.assertEqual([call.sent for call in self.pool.used], [[]] * len(self.pool.used))
+
+    async def test_keys_and_routes_decide_and_public_ones_need_no_key(self) -> None:
+        await self.pass_through([], key="other")
+        self.assertEqual(self.told(), (401, "whole", 0))
+        await self.pass_through([], path="/b/x")
+        self.assertEqual(self.told(), (404, "whole", 0))
+        await self.pass_through([FakeCall(HEAD, (b"ok",))], key="other", public=True)
+        self.assertEqual(self.told(), (200, "whole", 1))
+
+    async def test_a_workers_own_failure_is_passed_on(self) -> None:
+        failed = FakeCall((500, "Oh", HTTPHeaders({"Seal": "s"})), (b"why",))
+        await self.pass_through([failed, FakeCall(HEAD)])
+        self.assertEqual((self.told(), self.pen.body), ((500, "whole", 1), b"why"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_kept_index.py
@@ -0,0 +1,55 @@
+"""KeptIndex: what reports say, and what their gaps take away."""
+
+from __future__ import annotations
+
+import unittest
+
+from pearhead.awl.wire_pb2 import KeptNote, KeptPart
+from pearhead.lathe.kept_index import KeptIndex
+from pearhead.lathe.opaque import PromptPart
+
+PARTS = (PromptPart("a", 100), PromptPart("b", 50), PromptPart("c", 10))
+
+
+def note(sequence: int, *parts: tuple[str, int], life: str = "1", since: int | None = None) -> KeptNote:
+    return KeptNote(
+        worker="w", life=life, from_sequence=sequence - 1 if since is None else since, sequence=sequence,
+        part=[KeptPart(salt="s", part=part, tokens=tokens) for part, tokens in parts],
+    )
+
+
+class KeptIndexTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.index = KeptIndex()
+
+    def kept(self) -> int:
+        return self.index.kept_tokens("w", "s", PARTS)
+
+    def test_a_part_counts_only_behind_all_before_it(self) -> None:
+        self.index.take(note(1, ("b", 50)))
+        self.assertEqual(self.kept(), 0)
+        self.index.take(note(2, ("a", 100)))
+        self.assertEqual(self.kept(), 150)
+        self.index.take(note(3, ("b", 16)))
+        self.assertEqual(self.kept(), 116, "a part that is kept in part ends the prefix")
+        self.assertEqual(self.index.kept_tokens("w", "other", PARTS), 0, "another salt")
+
+    def test_drops_gaps_and_new_lives_are_believed(self) -> None:
+        self.index.take(note(1, ("a", 100)))
+        self.index.take(note(1, ("a", 0)))
+        self.assertEqual(self.kept(), 100, "an old report")
+        self.index.take(note(2, ("a", 0)))
+        self.assertEqual((self.kept(), self.index.keepers_of("s", "a")), (0, frozenset()))
+        self.index.take(note(3, ("a", 100)))
+        self.index.take(note(9, ("b", 50), since=8))
+        self.assertEqual(self.kept(), 0, "what was dropped in a gap is not known")
+        self.index.take(note(10, ("a", 100)))
+        self.index.take(note(1, ("b", 50), life="2"))
+        self.assertEqual(self.kept(), 0, "another life keeps nothing of the one before")
+        self.assertEqual(self.index.keepers_of("s", "b"), frozenset({"w"}))
+        self.index.forget("w")
+        self.assertEqual(self.index.keepers_of("s", "b"), frozenset())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,95 @@
+"""UpstreamPool at a real socket: what is kept, and what ends a connection."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tornado.httputil import HTTPHeaders
+
+from pearhead.awl.bench import Bench
+from pearhead.awl.clock import SECOND
+from pearhead.lathe.upstream import UpstreamPool
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Script:
+    """A server that answers each request on a connection with the next piece of its script."""
+
+    def __init__(self, *answers: bytes) -> None:
+        self.answers = list(answers)
+        self.connections = 0
+        self.requests: list[bytes] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while self.answers:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+                answer = self.answers.pop(0)
+                writer.write(answer.removesuffix(b"<close>"))
+                await writer.drain()
+                if answer.endswith(b"<close>"):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+class UpstreamTest(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, pool: UpstreamPool, address: str) -> tuple[int | None, bytes, bool]:
+        call = (await pool.call(address, SECOND)).unwrap()
+        call.send("GET", "/x?y=%20", HTTPHeaders({"Host": "h"}), b"")
+        head = await call.head(SECOND)
+        body = b"".join([chunk async for chunk in call.chunks(lambda: SECOND)])
+        whole = call.is_whole()
+        await call.close()
+        return head[0] if head else None, body, whole
+
+    async def run_script(self, *answers: bytes, asks: int) -> tuple[list[tuple[int | None, bytes, bool]], Script]:
+        script = Script(*answers)
+        server = await asyncio.start_server(script.serve, "127.0.0.1", 0)
+        pool = UpstreamPool(Bench())
+        port = server.sockets[0].getsockname()[1]
+        found = [await self.ask(pool, f"127.0.0.1:{port}") for _ in range(asks)]
+        for address in list(pool.idle):
+            pool.forget(address)
+        server.close()
+        return found, script
+
+    async def test_a_whole_answer_keeps_its_connection(self) -> None:
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+        found, script = await self.run_script(WHOLE, chunked, WHOLE, asks=3)
+        self.assertEqual(found, [(200, b"ok", True), (200, b"abc", True), (200, b"ok", True)])
+        self.assertEqual(script.connections, 1)
+        self.assertTrue(script.requests[0].startswith(b"GET /x?y=%20 HTTP/1.1\r\n"))
+
+    async def test_what_follows_a_whole_answer_ends_the_connection_and_reaches_nobody(self) -> None:
+        found, script = await self.run_script(WHOLE + WHOLE, WHOLE, asks=2)
+        self.assertEqual((found, script.connections), ([(200, b"ok", True)] * 2, 2))
+
+    async def test_a_cut_answer_is_never_whole(self) -> None:
+        for cut in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok<close>",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n<close>",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n<close>",
+            b"HTTP/1.1 200 OK\r\n\r\nwithout a length<close>",
+        ):
+            found, script = await self.run_script(cut, WHOLE, asks=2)
+            self.assertEqual((found[0][0], found[0][2], found[1]), (200, False, (200, b"ok", True)), cut)
+            self.assertEqual(script.connections, 2)
+
+    async def test_no_http_and_no_answer_have_no_head(self) -> None:
+        for nothing in (b"<close>", b"\x00\x01garbage\r\n\r\n<close>", b"HTTP/1.1 20"  b"<close>"):
+            found, _ = await self.run_script(nothing, asks=1)
+            self.assertEqual(found, [(None, b"", False)], nothing)
+
+    async def test_a_worker_that_will_close_is_not_kept_and_a_dead_port_is_an_error(self) -> None:
+        closing = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+        short = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok"
+        found, script = await self.run_script(closing, short, WHOLE, asks=3)
+        self.assertEqual((found, script.connections), ([(200, b"ok", True)] * 3, 3))
+        self.assertTrue((await UpstreamPool(Bench()).call("127.0.0.1:1", SECOND)).is_err())
