--- a/src/pearhead/anvil/core.py
+++ b/src/pearhead/anvil/core.py
@@ -12,6 +12,7 @@
 from google.protobuf.message import Message
 from result import Err
 
+from pearhead.anvil.change import ChangeChecker
 from pearhead.anvil.fleet import Fleet, UnknownCommand, to_body
 from pearhead.awl.clock import MILLI, SECOND, Clock, rest
 from pearhead.awl.courier import Courier
@@ -25,6 +26,8 @@
     Command,
     CommandAsk,
     CommandResult,
+    DescriptionAsk,
+    DescriptionResult,
     FoundAsk,
     FoundResult,
     JoinAsk,
@@ -47,8 +50,8 @@
 JOIN_MICROS = 700 * MILLI
 IDENTITY_FILE = "identity"
 EVENT_TYPES = {
-    "apply": "description.applied", "workers": "workers.changed", "weights": "weights.named",
-    "confirm": "load.confirmed",
+    "apply": "description.applied", "change": "description.applied", "workers": "workers.changed",
+    "weights": "weights.named", "confirm": "load.confirmed",
 }
 
 
@@ -85,7 +88,7 @@
         self.directory = Directory(selfRecord, self.startup.seeds, self.courier, self.clock, self.chance)
         self.raft = RaftMember(
             self.identity, Wal(self.disk), self, self._tell, self.clock, self.chance, self.crew, self.fail,
-            self.startup.digestEvery, self.startup.keptEntries,
+            self.startup.digestEvery, self.startup.keptEntries, self.startup.digest_bytes,
         )
         await self.raft.recover()
         self.raft.leadershipWatchers.append(self._take_leadership)
@@ -103,6 +106,7 @@
         self.courier.on_ask("foundAsk", self._make_found_result)
         self.courier.on_ask("joinAsk", self._make_join_result)
         self.courier.on_ask("commandAsk", self._make_command_result)
+        self.courier.on_ask("descriptionAsk", self._make_description_result)
         self.courier.on_ask("termAsk", self._make_term_result)
         self._join_volumes()
         self.raft.start()
@@ -148,7 +152,7 @@
         bodyName = command.WhichOneof("body")
         if bodyName == "hold" and outcome["status"] == "done":
             self.holdSeen[command.hold.worker] = (outcome["fence"], self.clock.now())
-        elif bodyName == "apply" and outcome["status"] == "done":
+        elif bodyName in ("apply", "change") and outcome["status"] == "done":
             self._join_volumes()
         if bodyName in EVENT_TYPES and outcome["status"] == "done" and self.raft.is_leader():
             self.tellEvent(EVENT_TYPES[bodyName], index, {"revision": index})
@@ -223,6 +227,10 @@
             checked = await read_description_gently(command.apply.description, self._breathe)
             if isinstance(checked, Err):
                 return CommandResult(status="refused", body=to_body({"faults": checked.err_value}))
+        elif command.WhichOneof("body") == "change":
+            judged = await self._judge_change(command)
+            if judged is not None:
+                return judged
         outcome = await self.raft.propose(command.SerializeToString())
         if isinstance(outcome, Err):
             isRun = outcome.err_value == "outcome unknown"
@@ -232,6 +240,25 @@
         index, body = outcome.ok_value
         return CommandResult(status=body["status"], index=index, body=to_body(body))
 
+    async def _judge_change(self, command: Command) -> CommandResult | None:
+        """A change that can't be taken is told so before it goes into the log (§5.4). None: let it go there."""
+        change = command.change
+        if not await self.raft.confirm():
+            return CommandResult(status="unavailable", body=to_body({"why": "no majority follows this core"}))
+        fleet = self.fleet
+        if fleet.has_taken(change):
+            return None
+        if change.base_number != fleet.description_number:
+            return CommandResult(status="conflict", body=to_body({"number": fleet.description_number}))
+        if change.number <= fleet.description_number:
+            faults = [f"number: must be above {fleet.description_number}"]
+            return CommandResult(status="refused", body=to_body({"faults": faults}))
+        change.checked_revision = fleet.descriptionRevision
+        checked = await ChangeChecker(self._breathe).check(change, fleet.description)
+        if isinstance(checked, Err):
+            return CommandResult(status="refused", body=to_body({"faults": checked.err_value[:20]}))
+        return None
+
     async def _breathe(self) -> None:
         """Lets heartbeats through while a large description is checked."""
         await rest(self.clock, 0)
@@ -380,12 +407,32 @@
             "directory": self.directory.rows(),
         }
 
+    async def read_description(self) -> dict[str, Any] | None:
+        """The description as of now with its number and all sources, on any core (§5.4). None: nobody who can tell
+        is in reach."""
+        result = await self._make_description_result("", "", DescriptionAsk())
+        leader_address = self.raft.leader_address()
+        if not result.held and leader_address and not self.raft.is_leader():
+            given = await self.courier.ask(leader_address, "descriptionAsk", DescriptionAsk(), COMMAND_MICROS)
+            if isinstance(given, Err):
+                return None
+            result = given.ok_value
+        if not result.held:
+            return None
+        return {"number": result.number, "description": json.loads(result.document)}
+
+    async def _make_description_result(self, identity: str, address: str, ask: DescriptionAsk) -> DescriptionResult:
+        if not self.raft.is_leader() or not await self.raft.confirm():
+            return DescriptionResult()
+        document = json.dumps(self.fleet.description, separators=(",", ":")).encode()
+        return DescriptionResult(held=True, number=self.fleet.description_number, document=document)
+
     async def read_fleet(self) -> dict[str, Any] | None:
         """The state as of now, read at the leader after a majority confirmed it; None elsewhere."""
         if not await self.raft.confirm():
             return None
         whole: dict[str, Any] = json.loads(self.fleet.take_digest())
         return {name: whole[name] for name in (
-            "description", "descriptionRevision", "history", "workers", "weights", "holds", "loads",
-            "volumeIndexes", "visibleIndex",
+            "description", "descriptionRevision", "description_number", "history", "workers", "weights", "holds",
+            "loads", "volumeIndexes", "visibleIndex",
         )}
--- a/src/pearhead/anvil/fleet.py
+++ b/src/pearhead/anvil/fleet.py
@@ -10,10 +10,20 @@
 from typing import Any
 
 from pearhead import PEARHEAD_RELEASE
-from pearhead.awl.view import EMPTY_BODY, ENTRY_SECTIONS, SECTION_NAMES, bucket_of, hash_sections
+from pearhead.anvil.change import hash_change, merge_change, without_source
+from pearhead.awl.view import (
+    EMPTY_BODY,
+    ENTRY_SECTIONS,
+    ROUTE_SECTIONS,
+    SECTION_NAMES,
+    BodyDigests,
+    bucket_of,
+    hash_sections,
+)
 from pearhead.awl.wire_pb2 import (
     ApplyDescription,
     BumpPart,
+    ChangeDescription,
     Command,
     ConfirmLoad,
     NameWeights,
@@ -26,6 +36,7 @@
 
 TRANSACTION_LIMIT = 65_536
 HISTORY_LIMIT = 256
+TAKEN_LIMIT = 256
 UNSEEN_BODIES = ("bump", "hold")
 
 Outcome = dict[str, Any]
@@ -44,6 +55,9 @@
         self.index = 0
         self.description: Outcome = {}
         self.descriptionRevision = 0
+        self.description_number = 0
+        self.taken: OrderedDict[str, Outcome] = OrderedDict()
+        self._digests: BodyDigests = {}
         self.history: list[Outcome] = []
         self.workers: dict[str, Outcome] = {}
         self.weights: dict[str, Outcome] = {}
@@ -83,6 +97,8 @@
             "index": self.index,
             "description": self.description,
             "descriptionRevision": self.descriptionRevision,
+            "description_number": self.description_number,
+            "taken": list(self.taken.items()),
             "history": self.history,
             "workers": self.workers,
             "weights": self.weights,
@@ -102,7 +118,11 @@
             setattr(self, name, data[name])
         self.parts = {v: {p: r for p, r in pairs} for v, pairs in data["parts"].items()}
         self.transactions = OrderedDict((t, o) for t, o in data["transactions"])
-        self.sections = {n: (i, base64.b64decode(b)) for n, (i, b) in data["sections"].items()}
+        # A release before these kept neither numbers nor routes.
+        self.description_number = data.get("description_number", 0)
+        self.taken = OrderedDict((n, o) for n, o in data.get("taken", []))
+        self.sections = {name: (0, EMPTY_BODY) for name in SECTION_NAMES}
+        self.sections.update((n, (i, base64.b64decode(b))) for n, (i, b) in data["sections"].items())
 
     # ---- reading ---------------------------------------------------------------------------------
 
@@ -111,7 +131,8 @@
         if haveIndex >= self.visibleIndex:
             return None
         baseIndex = haveIndex if haveHash else 0
-        delta = ViewDelta(baseIndex=baseIndex, index=self.visibleIndex, hash=hash_sections(self.sections))
+        view_hash = hash_sections(self.sections, self._digests)
+        delta = ViewDelta(baseIndex=baseIndex, index=self.visibleIndex, hash=view_hash)
         for name, (sectionIndex, body) in sorted(self.sections.items()):
             if sectionIndex > baseIndex:
                 delta.section.append(Section(name=name, index=sectionIndex, body=body))
@@ -144,6 +165,36 @@
         self._show("weights", index, self.weights)
         return {"status": "done", "revision": index}
 
+    def _apply_change(self, index: int, command: ChangeDescription) -> Outcome:
+        """Under operators' own numbers (§5.4). The leader checked the whole that comes of it."""
+        number = str(command.number)
+        change_hash = hash_change(command)
+        if self.has_taken(command):
+            return {"status": "done", "revision": self.taken[number]["revision"], "number": command.number}
+        is_base = command.base_number == self.description_number
+        if not is_base or command.checked_revision != self.descriptionRevision:
+            return {"status": "conflict", "number": self.description_number}
+        if command.number <= self.description_number:
+            return {"status": "refused", "faults": [f"number: must be above {self.description_number}"]}
+        document = json.loads(command.document)
+        self.description = merge_change(self.description, document, command.by_name)
+        self.description_number, self.descriptionRevision = command.number, index
+        self.taken[number] = {"hash": change_hash, "revision": index}
+        if len(self.taken) > TAKEN_LIMIT:
+            self.taken.popitem(last=False)
+        self.history.append({"revision": index, "by": "", "hash": change_hash, "number": command.number})
+        del self.history[:-HISTORY_LIMIT]
+        for line in self.description.get("lines", []):
+            self.weights.setdefault(line["name"], {"weights": line["weights"], "revision": index})
+        self._show_description(index)
+        self._show("weights", index, self.weights)
+        return {"status": "done", "revision": index, "number": command.number}
+
+    def has_taken(self, command: ChangeDescription) -> bool:
+        """Whether this very change was taken, as far back as the last 256 of them."""
+        held = self.taken.get(str(command.number))
+        return held is not None and bool(held["hash"] == hash_change(command))
+
     def _apply_workers(self, index: int, command: SetWorkers) -> Outcome:
         revision = self.sections["workers"][0]
         if command.baseRevision and command.baseRevision != revision:
@@ -179,6 +230,9 @@
         revision = self.weights[command.line]["revision"]
         if command.baseRevision and command.baseRevision != revision:
             return {"status": "conflict", "revision": revision}
+        present = self.weights[command.line]["weights"]
+        if command.rising and _is_no_higher(command.weights, present):
+            return {"status": "done", "revision": revision}
         self.weights[command.line] = {"weights": command.weights, "revision": index}
         self._show("weights", index, self.weights)
         return {"status": "done", "revision": index}
@@ -218,14 +272,22 @@
         return {"status": "done", "revision": index}
 
     def _show_description(self, index: int) -> None:
-        head = {name: value for name, value in self.description.items() if name != "entries"}
-        self._show("description", index, {"revision": index, "description": head})
-        buckets: list[list[Any]] = [[] for _ in ENTRY_SECTIONS]
-        for entry in self.description.get("entries", []):
-            buckets[bucket_of(entry["name"])].append(entry)
-        for name, entries in zip(ENTRY_SECTIONS, buckets, strict=True):
-            if entries or self.sections[name][1] != EMPTY_BODY:
-                self._show(name, index, entries)
+        # Sources are the operators' own text: nodes do without (§5.4).
+        head = {
+            name: without_source(value) for name, value in self.description.items()
+            if name not in ("entries", "routes", "source")
+        }
+        shown = {"revision": index, "description": head}
+        if self.description_number:
+            shown["number"] = self.description_number
+        self._show("description", index, shown)
+        for kind, section_names in (("entries", ENTRY_SECTIONS), ("routes", ROUTE_SECTIONS)):
+            buckets: list[list[Any]] = [[] for _ in section_names]
+            for item in self.description.get(kind, []):
+                buckets[bucket_of(item["name"])].append(without_source(item))
+            for name, items in zip(section_names, buckets, strict=True):
+                if items or self.sections[name][1] != EMPTY_BODY:
+                    self._show(name, index, items)
 
     def _show(self, name: str, index: int, value: Any) -> None:
         body = to_body(value)
@@ -233,6 +295,10 @@
             self.sections[name] = (index, body)
 
 
+def _is_no_higher(weights: str, present: str) -> bool:
+    return weights.isdecimal() and present.isdecimal() and int(weights) <= int(present)
+
+
 class FleetTest(unittest.TestCase):
     def test_a_later_releases_field_is_kept_and_its_command_stops_the_core(self) -> None:
         fleet = Fleet()
--- a/src/pearhead/awl/description.py
+++ b/src/pearhead/awl/description.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import unittest
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,6 +15,7 @@
 from pearhead.awl.clock import SECOND
 
 MAXIMUM_DESCRIPTION = 8 * 1024 * 1024
+MAXIMUM_CHANGE = 15 * 1024 * 1024
 EVERY_TENANT = "*"
 PIECE_SIZE = 200
 
@@ -125,6 +126,12 @@
     entries: list[CapabilityEntry]
 
 
+def host_of(host: str) -> str:
+    """A host as it is compared: in lower case and without its port."""
+    name, colon, port = host.strip().lower().rpartition(":")
+    return name if colon and (port.isdigit() or not port) and not name.endswith(":") else host.strip().lower()
+
+
 def owner_of(tenant: Tenant) -> str:
     """Who owns kept parts: a sharing group, or the tenant alone. The marks keep the two apart."""
     return f"group:{tenant.group}" if tenant.group else f"tenant:{tenant.name}"
@@ -202,12 +209,50 @@
     )
 
 
-def find_faults(description: Description) -> list[str]:
+class RouteCheck:
+    """What is wrong with routes, one after another (§5.4): each is looked at beside those before it."""
+
+    def __init__(self, roles: Mapping[str, str]) -> None:
+        self.roles = roles
+        self.names: set[str] = set()
+        self.prefixes: dict[tuple[str, str], str] = {}
+
+    def find(self, path: str, route: Route) -> list[str]:
+        faults = []
+        if not route.name:
+            faults.append(f"{path}.name: must not be empty")
+        if route.name in self.names:
+            faults.append(f"{path}.name: {route.name!r} is named twice")
+        self.names.add(route.name)
+        if not route.prefix.startswith("/") or not route.prefix.endswith("/"):
+            faults.append(f"{path}.prefix: must begin and end with '/', not {route.prefix!r}")
+        other = self.prefixes.setdefault((host_of(route.host), route.prefix), route.name)
+        if other != route.name:
+            faults.append(f"{path}.prefix: {route.host}{route.prefix} is matched by {other!r} too")
+        if route.deadline_micros <= 0:
+            faults.append(f"{path}.deadline_micros: must be above zero")
+        for position, split in enumerate(route.splits):
+            if split.service not in self.roles:
+                faults.append(f"{path}.splits[{position}].service: no service {split.service!r}")
+            elif self.roles[split.service] == "store":
+                faults.append(f"{path}.splits[{position}].service: {split.service!r} is a store and runs no requests")
+            if split.share < 0:
+                faults.append(f"{path}.splits[{position}].share: must not be below zero")
+        if sum(split.share for split in route.splits) <= 0:
+            faults.append(f"{path}.splits: their shares add up to 0")
+        return faults
+
+
+def find_faults(description: Description, any_names: bool = False) -> list[str]:
+    """Every fault between items. `any_names`: operators of another manner name items as they like (§5.4)."""
     faults: list[str] = []
-    lineNames = _check_names("lines", (x.name for x in description.lines), faults)
-    serviceNames = _check_names("services", (x.name for x in description.services), faults)
-    tenantNames = _check_names("tenants", (x.name for x in description.tenants), faults)
-    _check_names("entries", (x.name for x in description.entries), faults)
+    lineNames = _check_names("lines", (x.name for x in description.lines), faults, any_names)
+    serviceNames = _check_names("services", (x.name for x in description.services), faults, any_names)
+    tenantNames = _check_names("tenants", (x.name for x in description.tenants), faults, any_names)
+    _check_names("entries", (x.name for x in description.entries), faults, any_names)
+    route_check = RouteCheck({s.name: s.role for s in description.services})
+    for position, route in enumerate(description.routes):
+        faults.extend(route_check.find(f"routes[{position}]", route))
     for position, line in enumerate(description.lines):
         if not line.weights:
             faults.append(f"lines[{position}].weights: must not be empty")
@@ -258,10 +303,12 @@
     return faults
 
 
-def _check_names(path: str, names: Iterable[str], faults: list[str]) -> set[str]:
+def _check_names(path: str, names: Iterable[str], faults: list[str], any_names: bool) -> set[str]:
     seenNames: set[str] = set()
     for position, name in enumerate(names):
-        if not name or len(name) > 200 or name == EVERY_TENANT or "/" in name:
+        if any_names and name:
+            pass
+        elif not name or len(name) > 200 or name == EVERY_TENANT or "/" in name:
             faults.append(f"{path}[{position}].name: must be 1 to 200 signs, no '/', and not '*'")
         if name in seenNames:
             faults.append(f"{path}[{position}].name: {name!r} is named twice")
--- a/src/pearhead/awl/startup.py
+++ b/src/pearhead/awl/startup.py
@@ -40,6 +40,7 @@
     headerLimitBytes: int = 16_384
     digestEvery: int = 4_096
     keptEntries: int = 1_024
+    digest_bytes: int = 8 * 1024 * 1024
     oldWeightsMicros: int = 8 * SECOND
 
 
@@ -66,7 +67,7 @@
     if startup.logLevel not in ("DEBUG", "INFO", "WARNING", "ERROR"):
         faults.append("logLevel: must be DEBUG, INFO, WARNING or ERROR")
     for startupField in dataclasses.fields(startup):
-        isSize = startupField.name.endswith(("Micros", "Bytes", "Every", "Entries"))
+        isSize = startupField.name.endswith(("Micros", "Bytes", "Every", "Entries", "_bytes"))
         if isSize and getattr(startup, startupField.name) <= 0:
             faults.append(f"{startupField.name}: must be above zero")
     return faults
--- a/src/pearhead/awl/view.py
+++ b/src/pearhead/awl/view.py
@@ -10,26 +10,46 @@
 from functools import cached_property
 from typing import Any
 
-from pearhead.awl.description import EVERY_TENANT, CapabilityEntry, Description, Tenant, build_checked
+from pearhead.awl.description import (
+    EVERY_TENANT,
+    CapabilityEntry,
+    Description,
+    Route,
+    Service,
+    Tenant,
+    build_checked,
+    host_of,
+)
 from pearhead.awl.wire_pb2 import Section, ViewDelta
 
 BUCKET_COUNT = 64
 ENTRY_SECTIONS = tuple(f"entries-{bucket:02d}" for bucket in range(BUCKET_COUNT))
-SECTION_NAMES = ("description", *ENTRY_SECTIONS, "loads", "weights", "workers")
+ROUTE_SECTIONS = tuple(f"routes-{bucket:02d}" for bucket in range(BUCKET_COUNT))
+SECTION_NAMES = ("description", *ENTRY_SECTIONS, *ROUTE_SECTIONS, "loads", "weights", "workers")
 EMPTY_BODY = b"{}"
 
 
 def bucket_of(entryName: str) -> int:
-    """Entries lie in buckets by their names, so that a small change sends a small part (§5.2)."""
+    """Entries and routes lie in buckets by their names, so that a small change sends a small part (§5.2)."""
     return hashlib.blake2b(entryName.encode(), digest_size=2).digest()[0] % BUCKET_COUNT
 
 
-def hash_sections(sections: Mapping[str, tuple[int, bytes]]) -> str:
-    viewHash = hashlib.blake2b(digest_size=16)
+BodyDigests = dict[str, tuple[bytes, bytes]]
+
+
+def hash_sections(sections: Mapping[str, tuple[int, bytes]], held: BodyDigests | None = None) -> str:
+    """One hash over all sections. `held` remembers each section's body and its digest, so that only what changed
+    is read again."""
+    digests: BodyDigests = {} if held is None else held
+    view_hash = hashlib.blake2b(digest_size=16)
     for name, (index, body) in sorted(sections.items()):
-        viewHash.update(f"{name}:{index}:{len(body)}:".encode())
-        viewHash.update(body)
-    return viewHash.hexdigest()
+        held_body, digest = digests.get(name, (None, b""))
+        if held_body is not body:
+            digest = hashlib.blake2b(body, digest_size=16).digest()
+            digests[name] = (body, digest)
+        view_hash.update(f"{name}:{index}:".encode())
+        view_hash.update(digest)
+    return view_hash.hexdigest()
 
 
 @dataclass(frozen=True)
@@ -64,9 +84,13 @@
         default_factory=lambda: {name: (0, EMPTY_BODY) for name in SECTION_NAMES}
     )
 
+    @cached_property
+    def _digests(self) -> BodyDigests:
+        return {}
+
     @cached_property
     def hash(self) -> str:
-        return hash_sections(self.sections)
+        return hash_sections(self.sections, self._digests)
 
     def _section(self, name: str) -> Any:
         return json.loads(self.sections[name][1])
@@ -81,7 +105,41 @@
         entries = [
             item for name in ENTRY_SECTIONS if self.sections[name][1] != EMPTY_BODY for item in self._section(name)
         ]
-        return build_checked({**head, "entries": entries})
+        routes = [
+            item for name in ROUTE_SECTIONS
+            if name in self.sections and self.sections[name][1] != EMPTY_BODY for item in self._section(name)
+        ]
+        return build_checked({**head, "entries": entries, "routes": routes})
+
+    @cached_property
+    def number(self) -> int:
+        """The operators' own number of the description (§5.4); 0 when none was given."""
+        return int(self._section("description").get("number", 0))
+
+    @cached_property
+    def services(self) -> Mapping[str, Service]:
+        return {s.name: s for s in self.description.services}
+
+    @cached_property
+    def _routes_by_host(self) -> dict[str, dict[str, Route]]:
+        found: dict[str, dict[str, Route]] = {}
+        for route in self.description.routes:
+            found.setdefault(host_of(route.host), {})[route.prefix] = route
+        return found
+
+    def route_of(self, host: str, path: str) -> Route | None:
+        """The route with the longest prefix that begins the path, of those of this host; its case and port don't
+        count. None where there is none. Its cost grows with the slashes of the path, not with the routes (§5.4)."""
+        by_prefix = self._routes_by_host.get(host_of(host))
+        if by_prefix is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
 
     @cached_property
     def workers(self) -> dict[str, WorkerFact]:
@@ -128,9 +186,12 @@
         changed = dict(self.sections) if delta.baseIndex else dict(View().sections)
         for section in delta.section:
             changed[section.name] = (section.index, section.body)
-        if hash_sections(changed) != delta.hash:
+        digests = dict(self._digests) if delta.baseIndex else {}
+        if hash_sections(changed, digests) != delta.hash:
             return None
-        return View(delta.index, changed)
+        following = View(delta.index, changed)
+        following.__dict__["_digests"] = digests
+        return following
 
     def delta_since(self, haveIndex: int) -> ViewDelta | None:
         if haveIndex >= self.index:
--- a/src/pearhead/vise/raft.py
+++ b/src/pearhead/vise/raft.py
@@ -43,6 +43,7 @@
 HANDOVER_MICROS = SECOND
 CHUNK_SIZE = 256 * 1024
 BATCH_ENTRIES = 256
+BATCH_BYTES = 4 * 1024 * 1024
 FULL_RETRY_MICROS = 500 * MILLI
 
 Tell = Callable[[str, str, Message], None]
@@ -75,7 +76,7 @@
     def __init__(
         self, identity: str, wal: Wal, machine: Machine, tell: Tell, clock: Clock,
         chance: random.Random, crew: Crew, fail: Callable[[str], None], digestEvery: int = 4_096,
-        keptEntries: int = 1_024,
+        keptEntries: int = 1_024, digest_bytes: int = 8 * 1024 * 1024,
     ) -> None:
         self.identity = identity
         self.wal = wal
@@ -86,6 +87,8 @@
         self.crew = crew
         self.fail = fail
         self.digestEvery = digestEvery
+        self.digest_bytes = digest_bytes
+        self.bytes_since_digest = 0
         self.keptEntries = keptEntries
         self.epoch = 0
         self.votedFor = ""
@@ -562,15 +565,24 @@
             self._send_chunk(follower, memberAddress)
             return
         previousIndex = follower.nextIndex - 1
-        entries = [] if follower.inFlight else self.entries[
-            previousIndex - self.baseIndex : previousIndex - self.baseIndex + BATCH_ENTRIES
-        ]
+        entries = [] if follower.inFlight else self._batch_after(previousIndex)
         follower.inFlight = True
         self.tell(memberAddress, "appendAsk", AppendAsk(
             epoch=self.epoch, previousIndex=previousIndex, previousEpoch=self.epoch_at(previousIndex),
             entry=entries, commitIndex=self.commitIndex, round=self.roundNumber,
         ))
 
+    def _batch_after(self, index: int) -> list[Entry]:
+        """A frame has a limit, so a batch has one too; one entry always goes."""
+        position = index - self.baseIndex
+        batch = self.entries[position : position + BATCH_ENTRIES]
+        size = 0
+        for count, entry in enumerate(batch):
+            size += len(entry.payload)
+            if count and size > BATCH_BYTES:
+                return batch[:count]
+        return batch
+
     def _send_chunk(self, follower: Follower, memberAddress: str) -> None:
         if follower.digestFile is None:
             follower.digestFile = self._build_digest()
@@ -640,6 +652,7 @@
             assert entry is not None
             outcome = self.machine.apply(entry.index, entry.payload) if entry.kind == KIND_COMMAND else None
             self.appliedIndex = entry.index
+            self.bytes_since_digest += len(entry.payload)
             proposedEpoch, proposal = self.proposals.pop(entry.index, (0, None))
             if proposal is not None and not proposal.done():
                 isOwn = proposedEpoch == entry.epoch
@@ -648,8 +661,12 @@
                 self.membersWatcher(entry.index, Members.FromString(entry.payload))
             if entry.kind == KIND_MEMBERS and self.is_leader() and self.identity not in self.voters():
                 self._become_follower(self.epoch, "")
-        if self.appliedIndex - self.digestIndex >= self.digestEvery and not self.digestBusy:
+        is_due = (
+            self.appliedIndex - self.digestIndex >= self.digestEvery or self.bytes_since_digest >= self.digest_bytes
+        )
+        if is_due and self.appliedIndex > self.digestIndex and not self.digestBusy:
             self.digestBusy = True
+            self.bytes_since_digest = 0
             self.crew.start(self._keep_digest(self._build_digest()))
 
     def _build_digest(self) -> DigestFile:
@@ -665,6 +682,7 @@
             await self.wal.keep_digest(digest)
             self.digestIndex = digest.index
             newBase = min(digest.index, max(self.baseIndex, digest.index - self.keptEntries))
+            newBase = max(newBase, self._base_by_bytes(digest.index))
             if newBase > self.baseIndex:
                 newMembers = self._members_up_to(newBase)[1]
                 newEpoch = self.epoch_at(newBase)
@@ -675,6 +693,18 @@
         finally:
             self.digestBusy = False
 
+    def _base_by_bytes(self, index: int) -> int:
+        """Behind a digest no more bytes of entries are kept than lead to the next one (§4.3)."""
+        kept_bytes = 0
+        while index > self.baseIndex:
+            entry = self.entry_at(index)
+            assert entry is not None
+            kept_bytes += len(entry.payload)
+            if kept_bytes > self.digest_bytes:
+                break
+            index -= 1
+        return index
+
     async def _take_over_digest(self, digest: DigestFile, address: str, result: DigestResult) -> None:
         try:
             # What waits to be written goes first; nothing new is taken meanwhile.
--- a/tests/run.py
+++ b/tests/run.py
@@ -17,7 +17,9 @@
 def main() -> int:
     picologging.getLogger("pearhead").handlers = [picologging.NullHandler()]
     passedCount = failedCount = 0
-    for command in (["ruff", "check", "."], ["mypy"]):
+    # The folder is no package, as the interpreter has a module of its name: its files are checked by themselves.
+    platform_files = [str(path) for path in sorted((ROOT / "platform").glob("*.py"))]
+    for command in (["ruff", "check", "."], ["mypy"], ["mypy", *platform_files]):
         finished = subprocess.run([sys.executable, "-m", *command], cwd=ROOT, check=False)
         passedCount += finished.returncode == 0
         failedCount += finished.returncode != 0
