Rosters, kept parts and load orders from a platform's list: a first whole version

Cause: nodes knew workers only from the core's log; on the users' platform a priced list that lags tells which there are, and orders are judged by fence and turns. Ruled out: every node asking the list (63 calls a second where 47 are allowed), holds renewed all the time, a bump a part at each roll-out (the salt names the version already; docs/design.md 7.7). The courier answers asks whose message has a snake_case field too.

--- a/src/pearhead/awl/courier.py
+++ b/src/pearhead/awl/courier.py
@@ -13,6 +13,9 @@
 from pearhead.awl.net import Net
 from pearhead.awl.wire_pb2 import Envelope
 
+# The envelope's field by the message that it holds.
+BODY_NAMES = {f.message_type.name: f.name for f in Envelope.DESCRIPTOR.fields if f.message_type is not None}
+
 TellHandler = Callable[[str, str, Any], None]
 AskHandler = Callable[[str, str, Any], Awaitable[Message | None]]
 
@@ -118,6 +121,5 @@
         resultBody = await askHandler(envelope.identity, envelope.address, body)
         if resultBody is None:
             return
-        bodyName = resultBody.DESCRIPTOR.name
-        bodyName = bodyName[0].lower() + bodyName[1:]
+        bodyName = BODY_NAMES[resultBody.DESCRIPTOR.name]
         self.net.send(envelope.address, self._seal(bodyName, resultBody, 0, envelope.ask))
--- /dev/null
+++ b/src/pearhead/lathe/core_commander.py
@@ -0,0 +1,57 @@
+"""CoreCommander (§4.5): asks the cores to take a command; the one that answered last goes first."""
+
+from __future__ import annotations
+
+import random
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from pearhead.awl.clock import MILLI
+from pearhead.awl.courier import Courier
+from pearhead.awl.view import View
+from pearhead.awl.wire_pb2 import Command, CommandAsk, CommandResult
+
+ASK_MICROS = 700 * MILLI
+NO_RUN = ("unavailable", "unknown")
+
+
+class ViewSource(Protocol):
+    """What this file's users need of a `TermKeeper` (§5.3)."""
+
+    @property
+    def view(self) -> View: ...
+
+    def is_current(self) -> bool: ...
+
+    def core_addresses(self) -> list[str]: ...
+
+
+class Commander(Protocol):
+    async def command(self, command: Command) -> Result[CommandResult, str]:
+        """A core's answer within 0.7 s; an Err may have run."""
+
+
+class CoreCommander:
+    def __init__(self, keeper: ViewSource, courier: Courier, chance: random.Random) -> None:
+        self.keeper = keeper
+        self.courier = courier
+        self.chance = chance
+        self.good_core = ""
+
+    async def command(self, command: Command) -> Result[CommandResult, str]:
+        addresses = self.keeper.core_addresses()
+        if not addresses:
+            return Err("no core is known")
+        if self.good_core not in addresses:
+            self.good_core = self.chance.choice(addresses)
+        asked_core = self.good_core
+        ask = CommandAsk(command=command.SerializeToString())
+        given = await self.courier.ask(asked_core, "commandAsk", ask, ASK_MICROS)
+        is_good = not isinstance(given, Err) and given.ok_value.status not in NO_RUN
+        if not is_good and self.good_core == asked_core:
+            self.good_core = addresses[(addresses.index(asked_core) + 1) % len(addresses)]
+        if isinstance(given, Err):
+            return given
+        result: CommandResult = given.ok_value
+        return Ok(result)
--- /dev/null
+++ b/src/pearhead/lathe/kept_gatherer.py
@@ -0,0 +1,191 @@
+"""KeptGatherer (§7.7): one node for each worker and store asks what it keeps, and tells all others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+import picologging
+from result import Err
+
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.crew import Crew
+from pearhead.awl.directory import Directory
+from pearhead.awl.net import MAXIMUM_DATAGRAM
+from pearhead.awl.wire_pb2 import KeptNote, KeptPart
+from pearhead.lathe.core_commander import ViewSource
+from pearhead.lathe.rendezvous import rank_of
+from pearhead.lathe.roster import Roster
+from pearhead.lathe.worker_control import KeptEvents, WorkerControl
+
+LOGGER = picologging.getLogger("pearhead")
+ROUND_MICROS = 200 * MILLI
+WAIT_MICROS = 800 * MILLI
+CALL_MICROS = WAIT_MICROS + 700 * MILLI
+PAUSE_MICROS = 100 * MILLI
+FIRST_REST_MICROS = 250 * MILLI
+LAST_REST_MICROS = 2 * SECOND
+DATAGRAM_ROOM = MAXIMUM_DATAGRAM - 100
+PARTS_A_NOTE = 500
+
+
+class KeptSink(Protocol):
+    def take(self, note: KeptNote) -> None:
+        """A span of one life's events; `tokens` is what is kept now. With `whole` nothing before it counts."""
+
+
+class RosterHolder(Protocol):
+    @property
+    def roster(self) -> Roster: ...
+
+
+@dataclass(frozen=True)
+class _Cursor:
+    life: str
+    sequence: int
+
+
+def pack_parts(parts: Iterable[KeptPart]) -> list[KeptPart]:
+    """Salt and line are left out where they are those of the part before: most of a note's bytes are salts."""
+    packed, salt, line = [], "", ""
+    for part in parts:
+        packed.append(KeptPart(
+            part=part.part, tokens=part.tokens, salt="" if part.salt == salt else part.salt,
+            line="" if part.line == line else part.line,
+        ))
+        salt, line = part.salt, part.line
+    return packed
+
+
+def unpack_note(note: KeptNote) -> KeptNote:
+    whole = KeptNote()
+    whole.CopyFrom(note)
+    salt, line = "", ""
+    for part in whole.part:
+        part.salt = salt = part.salt or salt
+        part.line = line = part.line or line
+    return whole
+
+
+class KeptGatherer:
+    """The first by rendezvous gathers; the next goes on from the last sequence it was told. Two at once do no harm."""
+
+    def __init__(
+        self, identity: str, courier: Courier, directory: Directory, clock: Clock, crew: Crew,
+        control: WorkerControl, rosters: RosterHolder, keeper: ViewSource, sink: KeptSink,
+        pause_micros: int = PAUSE_MICROS,
+    ) -> None:
+        self.identity = identity
+        self.courier = courier
+        self.directory = directory
+        self.clock = clock
+        self.crew = crew
+        self.control = control
+        self.rosters = rosters
+        self.keeper = keeper
+        self.sink = sink
+        self.pause_micros = pause_micros
+        self.cursors: dict[str, _Cursor] = {}
+        self.polls: dict[str, asyncio.Task[None]] = {}
+        courier.on_tell("kept_note", self._take_note)
+
+    async def run(self) -> None:
+        while True:
+            self._set_polls()
+            await rest(self.clock, ROUND_MICROS)
+
+    def _set_polls(self) -> None:
+        targets = self._targets()
+        others = [r.identity for r in self.directory.members("lathe")]
+        mine = {
+            name: address for name, address in targets.items()
+            if rank_of(self.identity, others, f"kept/{name}") == 0
+        }
+        for name in list(self.polls):
+            if name not in mine or self.polls[name].done():
+                self.polls.pop(name).cancel()
+        for name in set(self.cursors) - set(targets):
+            del self.cursors[name]
+        for name, address in mine.items():
+            if name not in self.polls:
+                self.polls[name] = self.crew.start(self._gather(name, address))
+
+    def _targets(self) -> dict[str, str]:
+        view = self.keeper.view
+        targets = {
+            service.name: service.store_address for service in view.description.services
+            if service.role == "store" and service.store_address
+        }
+        for name, backend in self.rosters.roster.backends.items():
+            if view.roleByService.get(backend.service) == "model":
+                targets[name] = backend.address
+        return targets
+
+    async def _gather(self, name: str, address: str) -> None:
+        rest_micros = FIRST_REST_MICROS
+        while True:
+            began_micros = self.clock.now()
+            cursor = self.cursors.get(name, _Cursor("", 0))
+            given = await self.control.kept_events(address, cursor.sequence, WAIT_MICROS, CALL_MICROS)
+            if isinstance(given, Err):
+                await rest(self.clock, rest_micros)
+                rest_micros = min(2 * rest_micros, LAST_REST_MICROS)
+                continue
+            rest_micros = FIRST_REST_MICROS
+            self._take_events(name, cursor, given.ok_value)
+            # Events of the pause come in one answer, and so in one note.
+            await rest(self.clock, max(0, began_micros + self.pause_micros - self.clock.now()))
+
+    def _take_events(self, name: str, asked: _Cursor, given: KeptEvents) -> None:
+        if self.cursors.get(name, _Cursor("", 0)) != asked:
+            return  # Another node told of later ones meanwhile.
+        if given.life == asked.life and given.next_sequence < asked.sequence:
+            return  # A late answer to an earlier call.
+        if given.life != asked.life:
+            # Another life: its events are asked for from its beginning, and nothing before counts.
+            begin = given if asked.sequence == 0 else KeptEvents(given.life, 0, True)
+            self._tell(name, 0, begin, is_whole=True)
+            return
+        if given.is_dropped:
+            self._tell(name, asked.sequence, given, is_whole=True)
+        elif given.events:
+            self._tell(name, asked.sequence, given, is_whole=False)
+        elif given.next_sequence > asked.sequence:
+            self.cursors[name] = _Cursor(given.life, given.next_sequence)
+
+    def _tell(self, name: str, from_sequence: int, given: KeptEvents, is_whole: bool) -> None:
+        self.cursors[name] = _Cursor(given.life, given.next_sequence)
+        # The last word on a part is the one that counts; without a salt it is nothing that nodes would look for.
+        last_words: dict[tuple[str, str, str], KeptPart] = {}
+        for event in given.events:
+            if event.salt:
+                last_words.pop((event.line, event.salt, event.part), None)
+                last_words[event.line, event.salt, event.part] = KeptPart(
+                    salt=event.salt, part=event.part, tokens=event.tokens, line=event.line
+                )
+        newest = list(last_words.items())[-PARTS_A_NOTE:]
+        note = KeptNote(
+            worker=name, life=given.life, from_sequence=from_sequence, sequence=given.next_sequence,
+            whole=is_whole, part=[part for _, part in sorted(newest, key=lambda item: item[0])],
+        )
+        self.sink.take(note)
+        packed = KeptNote()
+        packed.CopyFrom(note)
+        del packed.part[:]
+        packed.part.extend(pack_parts(note.part))
+        addresses = [r.address for r in self.directory.members("lathe")]
+        if packed.ByteSize() <= DATAGRAM_ROOM:
+            self.courier.cast(addresses, "kept_note", packed)
+            return
+        for address in addresses:
+            self.courier.tell(address, "kept_note", packed)
+
+    def _take_note(self, identity: str, address: str, note: KeptNote) -> None:
+        held = self.cursors.get(note.worker)
+        if held is not None and held.life == note.life and note.sequence < held.sequence:
+            return  # Late or doubled.
+        self.cursors[note.worker] = _Cursor(note.life, note.sequence)
+        self.sink.take(unpack_note(note))
--- /dev/null
+++ b/src/pearhead/lathe/rendezvous.py
@@ -0,0 +1,17 @@
+"""rank_of (§7.2): who does a thing that one node should do, told alike by all that know the same nodes."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+
+def score_of(identity: str, subject: str) -> bytes:
+    """Rendezvous: the highest score goes first, and a node that goes changes nobody else's order."""
+    return hashlib.blake2b(f"{identity}/{subject}".encode(), digest_size=8).digest()
+
+
+def rank_of(identity: str, others: Iterable[str], subject: str) -> int:
+    """How many of the others go before this node; zero is the first."""
+    own_score = score_of(identity, subject)
+    return sum(score_of(other, subject) > own_score for other in set(others) if other != identity)
--- /dev/null
+++ b/src/pearhead/lathe/roll_out.py
@@ -0,0 +1,304 @@
+"""RollOut (§7.7): one node brings all workers of a line to the weights that operators named."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass
+from typing import Protocol
+
+import picologging
+from result import Err, Ok
+
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.crew import Crew
+from pearhead.awl.directory import Directory
+from pearhead.awl.wire_pb2 import Command, ModelNote
+from pearhead.lathe.core_commander import Commander, ViewSource
+from pearhead.lathe.rendezvous import rank_of
+from pearhead.lathe.roster import Roster
+from pearhead.lathe.version_book import VersionBook
+from pearhead.lathe.worker_control import Backend, LoadOrder, OrderOutcome, WorkerControl
+
+LOGGER = picologging.getLogger("pearhead")
+ROUND_MICROS = 50 * MILLI
+SILENCE_MICROS = 2 * SECOND
+RANK_MICROS = 1_500 * MILLI
+TWICE_MICROS = 20 * MILLI
+LEAVE_MICROS = 40 * MILLI
+ORDER_LIMIT_MICROS = 700 * MILLI
+REPORT_LIMIT_MICROS = 500 * MILLI
+FIRST_REPORT_MICROS = 450 * MILLI
+NEXT_REPORT_MICROS = 150 * MILLI
+LOAD_LIMIT_MICROS = 8 * SECOND
+AGAIN_MICROS = SECOND
+MARGIN_MICROS = 300 * MILLI
+RUSH_MICROS = 5 * SECOND
+HOLD_TRIES = 3
+ORDER_TRIES = 3
+
+
+class RosterHolder(Protocol):
+    @property
+    def roster(self) -> Roster: ...
+
+
+@dataclass(frozen=True)
+class _Hold:
+    """`order_until`: no order begins later (§7.2)."""
+
+    fence: int
+    order_until: int
+
+
+@dataclass
+class _LineState:
+    wanted: int
+    named_micros: int
+    progress_micros: int
+    is_told: bool = False
+
+
+class RollOut:
+    """The first by rendezvous over the line orders; the next when it saw no progress for 2 s and 1.5 s a rank.
+
+    A hold is taken for each order, and only then. Its orders begin within `order_micros` from when it was asked for;
+    the core gives a worker to another holder only `hold_micros` after. So orders of two holders lie further apart
+    than the difference of the two, whichever of them froze or was cut off.
+    """
+
+    def __init__(
+        self, identity: str, courier: Courier, directory: Directory, clock: Clock, crew: Crew,
+        control: WorkerControl, rosters: RosterHolder, keeper: ViewSource, commander: Commander, book: VersionBook,
+        hold_micros: int, order_micros: int = 0, rush_micros: int = RUSH_MICROS,
+    ) -> None:
+        self.identity = identity
+        self.courier = courier
+        self.directory = directory
+        self.clock = clock
+        self.crew = crew
+        self.control = control
+        self.rosters = rosters
+        self.keeper = keeper
+        self.commander = commander
+        self.book = book
+        self.hold_micros = hold_micros
+        self.order_micros = order_micros or hold_micros - MARGIN_MICROS
+        self.rush_micros = rush_micros
+        self.holds: dict[str, _Hold] = {}
+        self.lines: dict[str, _LineState] = {}
+        self.loads: dict[tuple[str, str], asyncio.Task[None]] = {}
+        self.again_micros: dict[str, int] = {}
+        self.is_draining = False
+        courier.on_tell("model_note", self._take_note)
+
+    async def run(self) -> None:
+        while True:
+            await rest(self.clock, ROUND_MICROS)
+            if self.keeper.is_current() and not self.is_draining:
+                self._work_once()
+
+    def note_version(self, worker: str, line: str, version: int) -> None:
+        """What an answer of the worker told; from the way of requests."""
+        if self.book.note(worker, line, version):
+            self._progress(line, version)
+
+    # ---- what there is to do ---------------------------------------------------------------------
+
+    def _work_once(self) -> None:
+        now_micros = self.clock.now()
+        self.loads = {key: task for key, task in self.loads.items() if not task.done()}
+        self.holds = {n: hold for n, hold in self.holds.items() if n in self.rosters.roster.backends}
+        self.again_micros = {n: at for n, at in self.again_micros.items() if at > now_micros}
+        for line in self.keeper.view.weights:
+            wanted = self._wanted(line)
+            if wanted is None:
+                continue
+            state = self.lines.get(line)
+            if state is None or state.wanted != wanted:
+                state = self.lines[line] = _LineState(wanted, now_micros, now_micros)
+            pending = [b for b in self._workers_of(line) if self._is_behind(b, line, wanted)]
+            if not pending:
+                state.progress_micros = now_micros
+                continue
+            if not self._is_turn(line, state):
+                continue
+            self._start_loads(line, state, pending)
+
+    def _wanted(self, line: str) -> int | None:
+        """The version named for a line; None while its weights' name is no decimal."""
+        fact = self.keeper.view.weights.get(line)
+        return int(fact.weights) if fact is not None and fact.weights.isdecimal() else None
+
+    def _workers_of(self, line: str) -> list[Backend]:
+        services = {
+            s.name for s in self.keeper.view.description.services if s.role == "model" and line in s.lines
+        }
+        return [b for _, b in sorted(self.rosters.roster.backends.items()) if b.service in services]
+
+    def _is_behind(self, backend: Backend, line: str, wanted: int) -> bool:
+        version = self.book.version_of(backend.name, line)
+        return not self._is_leaving(backend.name) and (version is None or version < wanted)
+
+    def _is_leaving(self, name: str) -> bool:
+        """By the list or by operators; one that is gone leaves as well."""
+        backend = self.rosters.roster.backends.get(name)
+        fact = self.keeper.view.workers.get(name)
+        return backend is None or backend.is_leaving or (fact is not None and fact.leaving)
+
+    def _is_turn(self, line: str, state: _LineState) -> bool:
+        if any(key[0] == line for key in self.loads):
+            return True
+        rank = rank_of(self.identity, (r.identity for r in self.directory.members("lathe")), f"roll-out/{line}")
+        silent_micros = self.clock.now() - state.progress_micros
+        return rank == 0 or silent_micros >= SILENCE_MICROS + RANK_MICROS * rank
+
+    def _start_loads(self, line: str, state: _LineState, pending: list[Backend]) -> None:
+        workers = [b for b in self._workers_of(line) if not self._is_leaving(b.name)]
+        if not state.is_told:
+            state.is_told = True
+            LOGGER.info("lathe: Brings %d workers of %s to version %d.", len(pending), line, state.wanted)
+        # Requests on older weights end soon after the naming: a worker not loaded by then serves nobody, so
+        # nothing is spared by letting it wait.
+        is_late = self.clock.now() - state.named_micros >= self.rush_micros
+        room = len(workers) if is_late else max(1, len(workers) // 3)
+        busy = {key[1] for key in self.loads if key[0] == line}
+        busy |= {b.name for b in workers if self.book.is_loading(b.name)}
+        for backend in pending:
+            if len(busy) >= room:
+                return
+            if backend.name in busy or backend.name in self.again_micros:
+                continue
+            busy.add(backend.name)
+            self.loads[line, backend.name] = self.crew.start(self._load(line, backend, state.wanted))
+
+    # ---- one worker ------------------------------------------------------------------------------
+
+    async def _load(self, line: str, backend: Backend, wanted: int) -> None:
+        """Holds it, tells nodes to leave it alone, orders, and looks until it is done."""
+        if await self._take_hold(backend.name) is None:
+            self.again_micros[backend.name] = self.clock.now() + AGAIN_MICROS // 4
+            return
+        is_done = False
+        await self._tell_loading(backend.name, line, wanted)
+        try:
+            for _ in range(ORDER_TRIES):
+                hold = await self._take_hold(backend.name)
+                if hold is None:
+                    break
+                outcome = await self._order(line, backend, wanted, hold)
+                if outcome is OrderOutcome.HOLDS_ALREADY:
+                    is_done = True
+                elif outcome in (OrderOutcome.TAKEN, OrderOutcome.BUSY, None):
+                    is_done = await self._watch(line, backend, wanted, isinstance(outcome, OrderOutcome))
+                else:
+                    break
+                if is_done:
+                    break
+        finally:
+            if not is_done:
+                self.again_micros[backend.name] = self.clock.now() + AGAIN_MICROS
+            self._tell(ModelNote(
+                worker=backend.name, line=line, version=wanted if is_done else 0, loading=False
+            ))
+
+    async def _order(self, line: str, backend: Backend, wanted: int, hold: _Hold) -> OrderOutcome | None:
+        """None: no answer, so it may have been taken."""
+
+        def may_begin() -> bool:
+            return (
+                self.holds.get(backend.name) == hold and self.clock.now() < hold.order_until
+                and self.keeper.is_current() and self._wanted(line) == wanted and not self._is_leaving(backend.name)
+            )
+
+        order = LoadOrder(backend.name, line, wanted, self.identity, hold.fence)
+        given = await self.control.order_load(backend.address, order, may_begin, ORDER_LIMIT_MICROS)
+        if isinstance(given, Err):
+            LOGGER.warning("lathe: The order to %s got no answer: %s", backend.name, given.err_value)
+            return None
+        if given.ok_value is OrderOutcome.OLDER_FENCE:
+            self.holds.pop(backend.name, None)
+        if given.ok_value not in (OrderOutcome.TAKEN, OrderOutcome.HOLDS_ALREADY):
+            LOGGER.warning("lathe: %s answered the order with %s.", backend.name, given.ok_value.value)
+        return given.ok_value
+
+    async def _watch(self, line: str, backend: Backend, wanted: int, is_taken: bool) -> bool:
+        """Whether it runs the wanted version; False once it surely has no order of ours to do."""
+        began_micros = self.clock.now()
+        told_micros = began_micros
+        wait_micros = FIRST_REPORT_MICROS if is_taken else NEXT_REPORT_MICROS
+        idle_count = 0
+        while self.clock.now() - began_micros < LOAD_LIMIT_MICROS:
+            await rest(self.clock, wait_micros)
+            if (self.book.version_of(backend.name, line) or 0) >= wanted:
+                return True
+            if backend.name not in self.rosters.roster.backends:
+                return False
+            given = await self.control.report(backend.address, REPORT_LIMIT_MICROS)
+            if isinstance(given, Ok):
+                if given.ok_value.versions.get(line, 0) >= wanted:
+                    return True
+                # A report is some hundred milliseconds old: three without an order tell that there is none.
+                idle_count = 0 if given.ok_value.is_loading else idle_count + 1
+                if idle_count >= 3:
+                    return False
+            now_micros = self.clock.now()
+            # What runs ends first, which may take seconds: reports cost, so they come more seldom then.
+            wait_micros = max(NEXT_REPORT_MICROS, (now_micros - began_micros) // 5)
+            if now_micros - told_micros >= SECOND:
+                told_micros = now_micros
+                self._tell(ModelNote(worker=backend.name, line=line, version=wanted, loading=True))
+        return False
+
+    # ---- holds -----------------------------------------------------------------------------------
+
+    async def _take_hold(self, name: str) -> _Hold | None:
+        """A hold with time left for an order, from the core if need be; None if another node has the worker."""
+        for _ in range(HOLD_TRIES):
+            held = self.holds.get(name)
+            asked_micros = self.clock.now()
+            if held is not None and asked_micros < held.order_until - ORDER_LIMIT_MICROS:
+                return held
+            command = Command()
+            command.hold.worker, command.hold.holder = name, self.identity
+            command.hold.termMicros = self.hold_micros
+            command.hold.renewFence = held.fence if held is not None else 0
+            given = await self.commander.command(command)
+            if isinstance(given, Err) or given.ok_value.status not in ("done", "held", "refused"):
+                continue
+            if given.ok_value.status != "done":
+                self.holds.pop(name, None)
+                return None
+            fence = int(json.loads(given.ok_value.body)["fence"])
+            present = self.holds.get(name)
+            if present is not None and present.fence > fence:
+                return None
+            # Counted from before it was asked for (§7.2).
+            self.holds[name] = _Hold(fence, asked_micros + self.order_micros)
+            return self.holds[name]
+        return None
+
+    # ---- telling ---------------------------------------------------------------------------------
+
+    async def _tell_loading(self, name: str, line: str, wanted: int) -> None:
+        """Twice, as datagrams get lost; then what was already on its way has time to arrive."""
+        note = ModelNote(worker=name, line=line, version=wanted, loading=True)
+        self._tell(note)
+        await rest(self.clock, TWICE_MICROS)
+        self._tell(note)
+        await rest(self.clock, LEAVE_MICROS)
+
+    def _tell(self, note: ModelNote) -> None:
+        if self.book.take_note(note):
+            self._progress(note.line, note.version)
+        self.courier.cast([r.address for r in self.directory.members("lathe")], "model_note", note)
+
+    def _take_note(self, identity: str, address: str, note: ModelNote) -> None:
+        if self.book.take_note(note):
+            self._progress(note.line, note.version)
+
+    def _progress(self, line: str, version: int) -> None:
+        state = self.lines.get(line)
+        if state is not None and version >= state.wanted:
+            state.progress_micros = self.clock.now()
--- /dev/null
+++ b/src/pearhead/lathe/roster.py
@@ -0,0 +1,312 @@
+"""RosterKeeper (§7.7): one node asks the platform which workers there are, and tells all others."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+import picologging
+from result import Err, Ok
+
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.crew import Crew
+from pearhead.awl.directory import Directory
+from pearhead.awl.net import MAXIMUM_DATAGRAM
+from pearhead.awl.wire_pb2 import ListedWorker, LoadedModel, RosterNote
+from pearhead.lathe.rendezvous import rank_of, score_of
+from pearhead.lathe.worker_control import Backend, WorkerControl
+
+LOGGER = picologging.getLogger("pearhead")
+SUBJECT = "roster"
+TICK_MICROS = 50 * MILLI
+# The whole fleet asks no more often than this while nobody gets an answer.
+ATTEMPT_GAP_MICROS = 700 * MILLI
+RANK_MICROS = 600 * MILLI
+VAIN_RANK_MICROS = 100 * MILLI
+FRESH_MICROS = 500 * MILLI
+PEER_MICROS = 400 * MILLI
+ALONE_MICROS = 2 * SECOND
+LIST_LIMIT_MICROS = 900 * MILLI
+ABSENT_MICROS = 400 * MILLI
+OUT_MICROS = 60 * SECOND
+WHOLE_MICROS = 10 * SECOND
+RECENT_MICROS = 3 * SECOND
+DATAGRAM_ROOM = MAXIMUM_DATAGRAM - 100
+LONG_AGO = -(10**12)
+
+
+@dataclass(frozen=True)
+class Roster:
+    """Immutable and swapped whole. `at_micros`: when the list behind it was asked, by this node's clock."""
+
+    backends: Mapping[str, Backend] = field(default_factory=dict)
+    at_micros: int = LONG_AGO
+
+
+def pack_backend(backend: Backend) -> ListedWorker:
+    return ListedWorker(
+        name=backend.name, address=backend.address, zone=backend.zone, service=backend.service,
+        capacity=backend.capacity, leaving=backend.is_leaving, cold_left_micros=backend.cold_left_micros,
+        model=[LoadedModel(line=line, version=version) for line, version in sorted(backend.versions.items())],
+    )
+
+
+def unpack_backend(listed: ListedWorker) -> Backend:
+    return Backend(
+        listed.name, listed.address, listed.zone, listed.service, listed.capacity, listed.leaving,
+        {model.line: model.version for model in listed.model}, listed.cold_left_micros,
+    )
+
+
+class RosterMerge:
+    """What lists say, put together so that knowledge goes one way only.
+
+    Seen leaving stays leaving. Absent from two lists asked 0.4 s apart or more is out, and out for 60 s: pages of one
+    list are read one after another, so an entry that moves between them is missing once though it is there; a second
+    list a second later still leaves time within the 3 s that a worker takes to go. A list of nobody says nothing.
+    """
+
+    def __init__(self) -> None:
+        self.roster = Roster()
+        self.leaving: set[str] = set()
+        self.absent_since: dict[str, int] = {}
+        self.out_until: dict[str, int] = {}
+
+    def take(self, listed: Iterable[Backend], at_micros: int, now_micros: int) -> bool:
+        """Whether the list was newer than what is known. An older one can still tell who leaves."""
+        listed_by_name = {backend.name: backend for backend in listed}
+        self.leaving |= {name for name, backend in listed_by_name.items() if backend.is_leaving}
+        is_newer = bool(listed_by_name) and at_micros > self.roster.at_micros
+        merged = dict(self.roster.backends)
+        if is_newer:
+            self.out_until = {name: end for name, end in self.out_until.items() if end > now_micros}
+            merged = {name: b for name, b in listed_by_name.items() if name not in self.out_until}
+            for name, backend in self.roster.backends.items():
+                if name in listed_by_name:
+                    self.absent_since.pop(name, None)
+                elif at_micros - self.absent_since.setdefault(name, at_micros) >= ABSENT_MICROS:
+                    self.absent_since.pop(name)
+                    self.out_until[name] = now_micros + OUT_MICROS
+                else:
+                    merged[name] = backend
+            self.leaving &= set(merged) | set(listed_by_name)
+        for name in self.leaving & set(merged):
+            if not merged[name].is_leaving:
+                merged[name] = dataclasses.replace(merged[name], is_leaving=True)
+        self.roster = Roster(merged, at_micros if is_newer else self.roster.at_micros)
+        return is_newer
+
+
+    def learn(self, listed: Iterable[Backend], at_micros: int, now_micros: int) -> None:
+        """What a colleague knows: it adds whom this node does not know, and takes nobody out."""
+        told = list(listed)
+        if not self.roster.backends:
+            self.take(told, at_micros, now_micros)
+            return
+        self.leaving |= {backend.name for backend in told if backend.is_leaving}
+        added = {
+            b.name: b for b in told
+            if b.name not in self.roster.backends and self.out_until.get(b.name, now_micros) <= now_micros
+        }
+        self.roster = Roster({**self.roster.backends, **added}, self.roster.at_micros)
+
+
+class RosterKeeper:
+    """Who asks: the first by rendezvous, each `beat_micros`; the next ones when they heard no list for 1.2 s and
+    0.6 s a rank. Records of dead nodes live 5 s, so silence decides and not who is listed. A note without workers
+    says that its sender asked in vain, so that a list in trouble is not asked by all at once.
+    """
+
+    def __init__(
+        self, identity: str, courier: Courier, directory: Directory, clock: Clock, chance: random.Random,
+        crew: Crew, control: WorkerControl, beat_micros: int,
+    ) -> None:
+        self.identity = identity
+        self.courier = courier
+        self.directory = directory
+        self.clock = clock
+        self.chance = chance
+        self.crew = crew
+        self.control = control
+        self.beat_micros = beat_micros
+        self.watchers: list[Callable[[Roster], None]] = []
+        self.merge = RosterMerge()
+        self.first_micros = 0
+        self.is_asker = False
+        self.asked_micros = LONG_AGO
+        self.heard_micros = LONG_AGO
+        self.attempt_micros = LONG_AGO
+        self.whole_micros = LONG_AGO
+        self.told_identities: set[str] = set()
+        self.told: dict[str, Backend] = {}
+        self.changed_micros: dict[str, int] = {}
+        self.is_learning = False
+        self.failure_count = 0
+        courier.on_tell("roster_note", self._take_note)
+        courier.on_ask("roster_note", self._make_whole)
+
+    @property
+    def roster(self) -> Roster:
+        return self.merge.roster
+
+    def is_first(self) -> bool:
+        """Whether this node speaks for the fleet: it asks, or would be the first to."""
+        return self.is_asker or self._rank() == 0
+
+    async def run(self) -> None:
+        # A fresh node knows few colleagues and would think itself the first: it waits for word of them, spread out.
+        started_micros = self.clock.now()
+        self.first_micros = started_micros + FRESH_MICROS + self.chance.randrange(FRESH_MICROS)
+        self.heard_micros = self.first_micros - self.beat_micros - self.beat_micros // 5
+        self.crew.start(self._learn_from_peers())
+        while True:
+            await rest(self.clock, TICK_MICROS)
+            now_micros = self.clock.now()
+            is_alone = not self.directory.members() and now_micros < started_micros + ALONE_MICROS
+            if not is_alone and now_micros >= max(self.first_micros, self._due_micros()):
+                await self._ask_list()
+
+    # ---- whose turn it is ------------------------------------------------------------------------
+
+    def _rank(self) -> int:
+        return rank_of(self.identity, (r.identity for r in self.directory.members("lathe")), SUBJECT)
+
+    def _silence_micros(self) -> int:
+        return self.beat_micros + self.beat_micros // 5 + RANK_MICROS * self._rank()
+
+    def _due_micros(self) -> int:
+        now_micros = self.clock.now()
+        if self.is_asker or self._rank() == 0:
+            # One that gets no answer while another does goes on seldom.
+            is_spared = self.failure_count > 1 and now_micros - self.heard_micros < 2 * self.beat_micros
+            return self.asked_micros + self.beat_micros * (5 if is_spared else 1)
+        gap_micros = ATTEMPT_GAP_MICROS + VAIN_RANK_MICROS * min(self._rank(), 10)
+        return max(self.heard_micros + self._silence_micros(), self.attempt_micros + gap_micros)
+
+    async def _ask_list(self) -> None:
+        began_micros = self.clock.now()
+        self.asked_micros = self.attempt_micros = began_micros
+        if not self.is_asker:
+            # The others wait on seeing this, whatever comes of it.
+            self._cast_vain()
+        given = await self.control.list_workers(LIST_LIMIT_MICROS)
+        listed = given.unwrap_or([])
+        if not listed:
+            self.failure_count += 1
+            self.is_asker = False
+            if self.failure_count in (1, 10):
+                why = given.err_value if isinstance(given, Err) else "it is empty"
+                LOGGER.warning("lathe: The list of workers gave nothing: %s.", why)
+            self._cast_vain()
+            return
+        self.failure_count = 0
+        self.is_asker = True
+        self.heard_micros = self.clock.now()
+        self._merge(listed, began_micros)
+        self._tell_all({b.name: b for b in listed}, began_micros)
+
+    # ---- telling ---------------------------------------------------------------------------------
+
+    def _cast_vain(self) -> None:
+        self.courier.cast([r.address for r in self.directory.members("lathe")], "roster_note", RosterNote())
+
+    def _tell_all(self, listed: Mapping[str, Backend], began_micros: int) -> None:
+        """What the list showed: whole to nodes not told before and now and then, else only names and what changed."""
+        now_micros = self.clock.now()
+        for name, backend in listed.items():
+            before = self.told.get(name)
+            if before is None or dataclasses.replace(before, cold_left_micros=backend.cold_left_micros) != backend:
+                self.changed_micros[name] = now_micros
+        self.told = dict(listed)
+        self.changed_micros = {
+            n: m for n, m in self.changed_micros.items() if n in listed and now_micros - m < RECENT_MICROS
+        }
+        records = self.directory.members("lathe")
+        if now_micros - self.whole_micros >= WHOLE_MICROS:
+            self.told_identities.clear()
+            self.whole_micros = now_micros
+        age_micros = now_micros - began_micros
+        whole = RosterNote(age_micros=age_micros, worker=[pack_backend(b) for b in listed.values()])
+        brief = RosterNote(age_micros=age_micros, worker=[
+            pack_backend(b) if n in self.changed_micros else ListedWorker(name=n, leaving=b.is_leaving)
+            for n, b in listed.items()
+        ])
+        known = [r.address for r in records if r.identity in self.told_identities]
+        if brief.ByteSize() <= DATAGRAM_ROOM:
+            self.courier.cast(known, "roster_note", brief)
+        else:
+            for address in known:
+                self.courier.tell(address, "roster_note", brief)
+        for record in records:
+            if record.identity not in self.told_identities:
+                self.courier.tell(record.address, "roster_note", whole)
+        self.told_identities = {r.identity for r in records}
+
+    # ---- hearing ---------------------------------------------------------------------------------
+
+    def _take_note(self, identity: str, address: str, note: RosterNote) -> None:
+        now_micros = self.clock.now()
+        if not note.worker:
+            self.attempt_micros = now_micros
+            return
+        at_micros = now_micros - note.age_micros
+        if at_micros > self.roster.at_micros:
+            self.heard_micros = max(self.heard_micros, now_micros)
+        if self.is_asker and score_of(identity, SUBJECT) > score_of(self.identity, SUBJECT):
+            self.is_asker = False
+        unknown = [w.name for w in note.worker if not w.address and w.name not in self.roster.backends]
+        listed = []
+        for worker in note.worker:
+            if worker.address:
+                listed.append(unpack_backend(worker))
+            elif worker.name in self.roster.backends:
+                held = self.roster.backends[worker.name]
+                listed.append(dataclasses.replace(held, is_leaving=held.is_leaving or worker.leaving))
+        self._merge(listed, at_micros)
+        if any(name not in self.merge.out_until for name in unknown) and not self.is_learning:
+            self.crew.start(self._learn_from(address))
+
+    def _merge(self, listed: Iterable[Backend], at_micros: int, adds_only: bool = False) -> None:
+        before = self.roster
+        if adds_only:
+            self.merge.learn(listed, at_micros, self.clock.now())
+        else:
+            self.merge.take(listed, at_micros, self.clock.now())
+        for name in before.backends.keys() - self.roster.backends.keys():
+            LOGGER.info("lathe: Worker %s is gone from the list.", name)
+        if self.roster is not before:
+            for watcher in self.watchers:
+                watcher(self.roster)
+
+    async def _make_whole(self, identity: str, address: str, note: RosterNote) -> RosterNote:
+        if not self.roster.backends:
+            return RosterNote()
+        return RosterNote(
+            age_micros=self.clock.now() - self.roster.at_micros,
+            worker=[pack_backend(b) for b in self.roster.backends.values()],
+        )
+
+    async def _learn_from(self, address: str) -> None:
+        self.is_learning = True
+        try:
+            asked_micros = self.clock.now()
+            given = await self.courier.ask(address, "roster_note", RosterNote(), PEER_MICROS)
+            if isinstance(given, Ok) and given.ok_value.worker:
+                # Counted from the asking, so never as newer than it is.
+                listed = [unpack_backend(w) for w in given.ok_value.worker]
+                self._merge(listed, asked_micros - given.ok_value.age_micros, adds_only=True)
+        finally:
+            self.is_learning = False
+
+    async def _learn_from_peers(self) -> None:
+        """A fresh node asks a peer; it asks the list itself if none has told it within 0.5 s."""
+        for _ in range(10):
+            addresses = [r.address for r in self.directory.members("lathe")]
+            if self.roster.backends:
+                return
+            if addresses:
+                await self._learn_from(self.chance.choice(addresses))
+            await rest(self.clock, TICK_MICROS)
--- /dev/null
+++ b/src/pearhead/lathe/roster_recorder.py
@@ -0,0 +1,66 @@
+"""RosterRecorder (§7.6): tells the core which workers there are, so that holds and operators can name them."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import picologging
+from result import Err
+
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
+from pearhead.awl.view import View
+from pearhead.awl.wire_pb2 import Command, SetWorkers, Worker
+from pearhead.lathe.core_commander import Commander, ViewSource
+from pearhead.lathe.roster import Roster
+
+LOGGER = picologging.getLogger("pearhead")
+ROUND_MICROS = 250 * MILLI
+REST_MICROS = SECOND
+
+
+class RosterSource(Protocol):
+    @property
+    def roster(self) -> Roster: ...
+
+    def is_first(self) -> bool: ...
+
+
+class RosterRecorder:
+    """Only what changed goes out, at most once a second, from the node that asks the list. Serving needs none of it."""
+
+    def __init__(self, source: RosterSource, keeper: ViewSource, commander: Commander, clock: Clock) -> None:
+        self.source = source
+        self.keeper = keeper
+        self.commander = commander
+        self.clock = clock
+
+    async def run(self) -> None:
+        while True:
+            await rest(self.clock, ROUND_MICROS)
+            if not (self.keeper.is_current() and self.source.is_first() and self.source.roster.backends):
+                continue
+            change = find_change(self.source.roster, self.keeper.view)
+            if change is None:
+                continue
+            given = await self.commander.command(Command(workers=change))
+            if isinstance(given, Err) or given.ok_value.status != "done":
+                LOGGER.warning("lathe: The core did not take the roster.")
+            # The view brings the change back; until then it would be told again.
+            await rest(self.clock, REST_MICROS)
+
+
+def find_change(roster: Roster, view: View) -> SetWorkers | None:
+    """What the core should be told; None when it knows. A mark of operators is no difference (§7.6)."""
+    change = SetWorkers(partial=True, removed=sorted(view.workers.keys() - roster.backends.keys()))
+    for name, backend in sorted(roster.backends.items()):
+        known = view.workers.get(name)
+        is_known = (
+            known is not None and known.address == backend.address and known.area == backend.zone
+            and known.service == backend.service and (known.leaving or not backend.is_leaving)
+        )
+        if not is_known:
+            change.worker.append(Worker(
+                name=name, address=backend.address, area=backend.zone, service=backend.service,
+                leaving=backend.is_leaving,
+            ))
+    return change if change.worker or change.removed else None
