--- a/src/pearhead/lathe/edge.py
+++ b/src/pearhead/lathe/edge.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Any, Protocol
 
 import picologging
@@ -16,7 +17,6 @@
     HTTPServerConnectionDelegate,
     RequestStartLine,
     ResponseStartLine,
-    responses,
 )
 from tornado.iostream import StreamClosedError
 
@@ -54,7 +54,7 @@
         if self.closes():
             headers["Connection"] = "close"
             self.connection._disconnect_on_finish = True
-        start = ResponseStartLine("HTTP/1.1", status, reason or responses.get(status, "Unknown"))
+        start = ResponseStartLine("HTTP/1.1", status, reason or _reason_of(status))
         self._ignore(self.connection.write_headers(start, headers))
         if not self.gone:
             self.connection.stream.set_nodelay(True)
@@ -151,3 +151,10 @@
         finally:
             if not pen.is_over:
                 pen.abort()
+
+
+def _reason_of(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
--- a/src/pearhead/lathe/event_stream.py
+++ b/src/pearhead/lathe/event_stream.py
@@ -23,7 +23,7 @@
 
     def feed(self, chunk: bytes) -> bytes:
         self.pending += chunk
-        whole = []
+        whole: list[bytes] = []
         while True:
             end = EVENT_END.search(self.pending)
             if end is None:
--- a/src/pearhead/lathe/gate.py
+++ b/src/pearhead/lathe/gate.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,7 +11,7 @@
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
 
-from pearhead.awl.clock import MILLI, SECOND, Clock
+from pearhead.awl.clock import MILLI, Clock
 from pearhead.awl.description import Route, Tenant
 from pearhead.awl.view import View
 from pearhead.lathe.errors import ErrorKind, Refusal
--- a/src/pearhead/lathe/gateway.py
+++ b/src/pearhead/lathe/gateway.py
@@ -15,6 +15,7 @@
 from pearhead.awl.startup import Startup
 from pearhead.awl.view import View
 from pearhead.awl.wire_pb2 import Record, UseNote
+from pearhead.lathe.core_commander import CoreCommander
 from pearhead.lathe.fleet_budget import FleetBudget
 from pearhead.lathe.gate import Gate
 from pearhead.lathe.kept_gatherer import KeptGatherer
@@ -23,8 +24,9 @@
 from pearhead.lathe.opaque import AnswerHead, Dialect
 from pearhead.lathe.part_salt import PartSalt
 from pearhead.lathe.placer import Placer
-from pearhead.lathe.roll_out import RollOutController
-from pearhead.lathe.roster import Roster, RosterKeeper
+from pearhead.lathe.roll_out import RollOut
+from pearhead.lathe.roster import RosterKeeper
+from pearhead.lathe.roster_recorder import RosterRecorder
 from pearhead.lathe.term import TermKeeper
 from pearhead.lathe.upstream import UpstreamPool
 from pearhead.lathe.version_book import VersionBook
@@ -46,7 +48,7 @@
     retry_slack: int = 10
     retry_window_micros: int = 10 * SECOND
     serve_on_micros: int = 60 * SECOND
-    beat_micros: int = 1_200 * MILLI
+    list_micros: int = SECOND
 
 
 class GatewayProcess:
@@ -69,23 +71,25 @@
         )
         self.loads = LoadBook(clock)
         self.index = KeptIndex()
-        self.versions = VersionBook(self.courier, clock)
+        self.versions = VersionBook(clock)
         self.weights = WeightsClock(clock, self.keeper, startup.oldWeightsMicros)
-        self.roster_keeper = RosterKeeper(
-            self.identity, self.courier, self.directory, clock, chance, self.crew, control, settings.beat_micros,
-            self.keeper,
+        self.rosters = RosterKeeper(
+            self.identity, self.courier, self.directory, clock, chance, self.crew, control, settings.list_micros
         )
+        self.rosters.watchers.append(self.versions.take_roster)
         self.gatherer = KeptGatherer(
-            self.identity, self.courier, self.directory, clock, self.crew, control, self.roster_keeper, self.keeper,
+            self.identity, self.courier, self.directory, clock, self.crew, control, self.rosters, self.keeper,
             self.index,
         )
-        self.roll_out = RollOutController(
-            self.identity, self.courier, self.directory, clock, chance, self.crew, control, self.roster_keeper,
-            self.keeper, self.versions, self.listener, startup.holdMicros,
+        commander = CoreCommander(self.keeper, self.courier, chance)
+        self.recorder = RosterRecorder(self.rosters, self.keeper, commander, clock)
+        self.roll_out = RollOut(
+            self.identity, self.courier, self.directory, clock, self.crew, control, self.rosters, self.keeper,
+            commander, self.versions, startup.holdMicros,
         )
         self.pool = UpstreamPool(clock)
         self.placer = Placer(
-            clock, startup.area, lambda: self.roster_keeper.roster, self.versions, self.index, self.loads,
+            clock, startup.area, lambda: self.rosters.roster, self.versions, self.index, self.loads,
             PartSalt(self.listener), self.weights.may_use,
         )
         budget = FleetBudget(clock, settings.retry_ratio, settings.retry_slack, settings.retry_window_micros)
@@ -97,8 +101,8 @@
 
     def start(self) -> None:
         for work in (
-            self.directory.run(), self.keeper.run(), self.listener.run(), self.roster_keeper.run(),
-            self.gatherer.run(), self.roll_out.run(), self._tell_use(), self._sweep(),
+            self.directory.run(), self.keeper.run(), self.listener.run(), self.rosters.run(),
+            self.recorder.run(), self.gatherer.run(), self.roll_out.run(), self._tell_use(), self._sweep(),
         ):
             self.crew.start(work)
         LOGGER.info("lathe: Node %s listens on %s.", self.identity[:8], self.startup.address)
@@ -109,7 +113,7 @@
 
     async def drain(self, least_micros: int) -> None:
         """Goes on serving for a while, as callers still come; then waits for what is open."""
-        self.is_draining = True
+        self.is_draining = self.roll_out.is_draining = True
         end_micros = self.clock.now() + self.startup.drainMicros
         least_end = self.clock.now() + least_micros
         while self.clock.now() < least_end or (self.gate.open_requests and self.clock.now() < end_micros):
@@ -117,7 +121,7 @@
 
     def is_ready(self) -> bool:
         """Knows what is in force, and a worker; a draining node takes no new connections."""
-        return not self.is_draining and self.view() is not None and bool(self.roster_keeper.roster.backends)
+        return not self.is_draining and self.view() is not None and bool(self.rosters.roster.backends)
 
     def view(self) -> View | None:
         """What is in force as last known: serves on for a bounded time without the cores (§5.5)."""
@@ -132,7 +136,7 @@
 
     def _note_versions(self, worker: str, head: AnswerHead) -> None:
         for line, version in head.versions.items():
-            self.versions.note_version(worker, line, version)
+            self.roll_out.note_version(worker, line, version)
 
     def _take_use(self, identity: str, address: str, note: UseNote) -> None:
         self.loads.take(identity, note)
@@ -154,8 +158,8 @@
         while True:
             await rest(self.clock, SWEEP_MICROS)
             self.pool.sweep()
-            backends: Roster = self.roster_keeper.roster
-            now_known = {name: backend.address for name, backend in backends.backends.items()}
+            backends = self.rosters.roster.backends
+            now_known = {name: backend.address for name, backend in backends.items()}
             for name, address in known.items():
                 if name not in now_known:
                     self.pool.forget(address)
--- a/src/pearhead/lathe/placer.py
+++ b/src/pearhead/lathe/placer.py
@@ -243,7 +243,7 @@
     """The service that the split gives this request, then the others."""
     total = sum(split.share for split in route.splits)
     spot = int.from_bytes(hashlib.blake2b(request_id.encode(), digest_size=4).digest(), "big") % max(total, 1)
-    names = []
+    names: list[str] = []
     for split in route.splits:
         if split.share and 0 <= spot < split.share:
             names.insert(0, split.service)
--- a/src/pearhead/lathe/weights_clock.py
+++ b/src/pearhead/lathe/weights_clock.py
@@ -8,7 +8,7 @@
 
 
 class WeightsClock:
-    """The first naming after a version counts, and from when this node last knew of none: before it was acknowledged."""
+    """The first naming after a version counts, from when this node last knew of none: that was before its yes."""
 
     def __init__(self, clock: Clock, keeper: TermKeeper, old_micros: int) -> None:
         self.clock = clock
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -30,5 +30,6 @@
 
     def test_an_event_without_an_id_is_passed_on(self) -> None:
         splitter = EventSplitter()
-        self.assertEqual(splitter.feed(b"data: a\r\n\r\nid:2\r\ndata: b\r\n\r\n:"), b"data: a\r\n\r\nid:2\r\ndata: b\r\n\r\n")
+        whole = b"data: a\r\n\r\nid:2\r\ndata: b\r\n\r\n"
+        self.assertEqual(splitter.feed(whole + b":"), whole)
         self.assertEqual((splitter.last_id, splitter.pending), ("2", b":"))
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -23,8 +23,8 @@
 
 EVENTS = [b"id: %d\ndata: x\n\n" % n for n in range(1, 4)]
 HEAD = (200, "OK", HTTPHeaders({"Seal": "s", "Connection": "keep-alive"}))
-STREAM = {"stream": True}
-RESUMABLE = {"stream": True, "resumable": True}
+STREAM: dict[str, Any] = {"stream": True}
+RESUMABLE: dict[str, Any] = {"stream": True, "resumable": True}
 
 
 class FakeCall:
