--- a/src/pearhead/lathe/placer.py
+++ b/src/pearhead/lathe/placer.py
@@ -116,7 +116,7 @@
             return self._choose_plain(candidates, service)
         salts = {
             version: self.salts.salt(view, tenant, line, version, request.parts)
-            for version in {self.versions.version_of(backend.name, line) for backend in candidates} if version is not None
+            for version in {self.versions.version_of(b.name, line) for b in candidates} if version is not None
         }
         home_order = _home_order(request, candidates)
         choices = [
--- a/src/pearhead/lathe/upstream.py
+++ b/src/pearhead/lathe/upstream.py
@@ -62,7 +62,7 @@
 
 
 class UpstreamCall:
-    """One request on one connection. Its owner calls `close` in any case; a whole, clean answer keeps the connection."""
+    """One request on one connection. Its owner calls `close` in any case; a clean one keeps the connection."""
 
     def __init__(self, pool: UpstreamPool, address: str, stream: IOStream, reused: bool) -> None:
         self.pool = pool
