--- a/src/pearhead/lathe/gate.py
+++ b/src/pearhead/lathe/gate.py
@@ -164,7 +164,7 @@
         try:
             looked = self._look(request)
             if isinstance(looked, Err) or looked.ok_value.route.splits != way.route.splits or not self.placer.stands(
-                looked.ok_value.view, choice, request.line
+                looked.ok_value.view, choice
             ):
                 # It was placed by what is not in force any more; nothing was sent (§8.4).
                 return Refusal(ErrorKind.NO_WORKER, "what was placed does not stand", SOON_MICROS)
--- a/src/pearhead/lathe/placer.py
+++ b/src/pearhead/lathe/placer.py
@@ -37,6 +37,7 @@
 
     backend: Backend
     service: str
+    line: str
     version: int | None
     salt: str
     kept_tokens: int
@@ -75,7 +76,7 @@
                 return Ok(found)
         return Err(Refusal(ErrorKind.NO_WORKER, "no worker can run it now", 300 * MILLI))
 
-    def stands(self, view: View, choice: Choice, line: str) -> bool:
+    def stands(self, view: View, choice: Choice) -> bool:
         """Whether this very choice could still be made: asked in one step with the first byte (§8.4)."""
         backend = self.roster().backends.get(choice.backend.name)
         if backend is None or backend.is_leaving or backend.address != choice.backend.address:
@@ -83,8 +84,8 @@
         if choice.version is None:
             return True
         return (
-            not self.versions.is_loading(backend.name) and self.may_use(view, line, choice.version)
-            and self.versions.version_of(backend.name, line) == choice.version
+            not self.versions.is_loading(backend.name) and self.may_use(view, choice.line, choice.version)
+            and self.versions.version_of(backend.name, choice.line) == choice.version
         )
 
     def free_places(self, view: View, route: Route) -> int:
@@ -100,7 +101,7 @@
         self, view: View, roster: Roster, service: Service, request: OpaqueRequest, tenant: Tenant | None,
         excluded: frozenset[str],
     ) -> Choice | None:
-        line = request.line if request.line in service.lines else ""
+        line = _line_of(request, service)
         if service.role == "model" and not line:
             return None
         candidates = [
@@ -135,7 +136,7 @@
 
     def _choose_plain(self, candidates: list[Backend], service: Service) -> Choice:
         backend = min(candidates, key=lambda b: (self.loads.use_of(b.name).running, b.zone != self.zone, b.name))
-        return Choice(backend, service.name, None, "", 0, 0, "", "", FIRST_MICROS)
+        return Choice(backend, service.name, "", None, "", 0, 0, "", "", FIRST_MICROS)
 
     def _choice(
         self, view: View, roster: Roster, service: Service, backend: Backend, salts: Mapping[int, SaltText],
@@ -172,7 +173,7 @@
                 strangeness = 0.0
         save_to = self._store_for(view, salt.text, request, kept) if salt.is_fresh else ""
         return expected + strangeness, Choice(
-            backend, service.name, version, salt.text, kept + fetched, read, fetch_from, save_to, int(expected)
+            backend, service.name, line, version, salt.text, kept + fetched, read, fetch_from, save_to, int(expected)
         )
 
     def _kept(self, worker: str, salt: str, request: OpaqueRequest) -> int:
@@ -239,6 +240,13 @@
             self.expected = {key: until for key, until in self.expected.items() if until > now_micros}
 
 
+def _line_of(request: OpaqueRequest, service: Service) -> str:
+    """A request that names no line goes on the first that its service runs."""
+    if not request.line and service.lines:
+        return service.lines[0]
+    return request.line if request.line in service.lines else ""
+
+
 def _services_by_share(route: Route, request_id: str) -> Iterable[str]:
     """The service that the split gives this request, then the others."""
     total = sum(split.share for split in route.splits)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -81,9 +81,9 @@
             return Err(Refusal(ErrorKind.NO_WORKER))
         self.chosen.append(free[0])
         backend = Backend(free[0], "127.0.0.1:1", "z", "s", 4, False, {"l": 2}, 0)
-        return Ok(Choice(backend, "s", 2, "salt", 0, 10, "", "", 1_000))
+        return Ok(Choice(backend, "s", "l", 2, "salt", 0, 10, "", "", 1_000))
 
-    def stands(self, view: View, choice: Choice, line: str) -> bool:
+    def stands(self, view: View, choice: Choice) -> bool:
         return self.does_stand
 
 
