Kept parts and roll-outs tried over fleets on virtual time, through freezes and cuts

Cause: a note of a new life that its next one overtook left parts of the former life standing; a worker that does not answer held its slot of a roll-out; a node that woke ordered again what others had done. Conclusion: each is a test now.

--- a/src/pearhead/lathe/kept_gatherer.py
+++ b/src/pearhead/lathe/kept_gatherer.py
@@ -44,8 +44,17 @@
 
 @dataclass(frozen=True)
 class _Cursor:
-    life: str
-    sequence: int
+    """Up to where a worker's events were told, and the life before this one, whose late notes count for nothing."""
+
+    life: str = ""
+    sequence: int = 0
+    former_life: str = ""
+
+    def moved(self, life: str, sequence: int) -> _Cursor:
+        return _Cursor(life, sequence, self.former_life if life == self.life else self.life)
+
+
+START = _Cursor()
 
 
 def pack_parts(parts: Iterable[KeptPart]) -> list[KeptPart]:
@@ -128,7 +137,7 @@
         rest_micros = FIRST_REST_MICROS
         while True:
             began_micros = self.clock.now()
-            cursor = self.cursors.get(name, _Cursor("", 0))
+            cursor = self.cursors.get(name, START)
             given = await self.control.kept_events(address, cursor.sequence, WAIT_MICROS, CALL_MICROS)
             if isinstance(given, Err):
                 await rest(self.clock, rest_micros)
@@ -140,7 +149,7 @@
             await rest(self.clock, max(0, began_micros + self.pause_micros - self.clock.now()))
 
     def _take_events(self, name: str, asked: _Cursor, given: KeptEvents) -> None:
-        if self.cursors.get(name, _Cursor("", 0)) != asked:
+        if self.cursors.get(name, START) != asked:
             return  # Another node told of later ones meanwhile.
         if given.life == asked.life and given.next_sequence < asked.sequence:
             return  # A late answer to an earlier call.
@@ -154,10 +163,10 @@
         elif given.events:
             self._tell(name, asked.sequence, given, is_whole=False)
         elif given.next_sequence > asked.sequence:
-            self.cursors[name] = _Cursor(given.life, given.next_sequence)
+            self.cursors[name] = asked.moved(given.life, given.next_sequence)
 
     def _tell(self, name: str, from_sequence: int, given: KeptEvents, is_whole: bool) -> None:
-        self.cursors[name] = _Cursor(given.life, given.next_sequence)
+        self.cursors[name] = self.cursors.get(name, START).moved(given.life, given.next_sequence)
         # The last word on a part is the one that counts; without a salt it is nothing that nodes would look for.
         last_words: dict[tuple[str, str, str], KeptPart] = {}
         for event in given.events:
@@ -184,8 +193,12 @@
             self.courier.tell(address, "kept_note", packed)
 
     def _take_note(self, identity: str, address: str, note: KeptNote) -> None:
-        held = self.cursors.get(note.worker)
-        if held is not None and held.life == note.life and note.sequence < held.sequence:
-            return  # Late or doubled.
-        self.cursors[note.worker] = _Cursor(note.life, note.sequence)
-        self.sink.take(unpack_note(note))
+        held = self.cursors.get(note.worker, START)
+        is_late = held.life == note.life and note.sequence < held.sequence
+        if is_late or (note.life == held.former_life and note.life != ""):
+            return
+        self.cursors[note.worker] = held.moved(note.life, note.sequence)
+        unpacked = unpack_note(note)
+        # The note that told of a new life may be lost, or be overtaken by the next.
+        unpacked.whole = note.whole or note.life != held.life
+        self.sink.take(unpacked)
--- a/src/pearhead/lathe/roll_out.py
+++ b/src/pearhead/lathe/roll_out.py
@@ -33,10 +33,14 @@
 NEXT_REPORT_MICROS = 150 * MILLI
 LOAD_LIMIT_MICROS = 8 * SECOND
 AGAIN_MICROS = SECOND
+SLEPT_MICROS = SECOND
+LIST_MICROS = 2 * SECOND
 MARGIN_MICROS = 300 * MILLI
 RUSH_MICROS = 5 * SECOND
 HOLD_TRIES = 3
 ORDER_TRIES = 3
+IDLE_REPORTS = 3
+SILENT_REPORTS = 2
 
 
 class RosterHolder(Protocol):
@@ -90,13 +94,20 @@
         self.lines: dict[str, _LineState] = {}
         self.loads: dict[tuple[str, str], asyncio.Task[None]] = {}
         self.again_micros: dict[str, int] = {}
+        self.failure_counts: dict[str, int] = {}
         self.is_draining = False
         courier.on_tell("model_note", self._take_note)
 
     async def run(self) -> None:
+        seen_micros, quiet_until = self.clock.now(), 0
         while True:
             await rest(self.clock, ROUND_MICROS)
-            if self.keeper.is_current() and not self.is_draining:
+            now_micros = self.clock.now()
+            if now_micros - seen_micros >= SLEPT_MICROS:
+                # It slept: what others did meanwhile comes with the next list, and would be ordered again.
+                quiet_until = now_micros + LIST_MICROS
+            seen_micros = now_micros
+            if now_micros >= quiet_until and self.keeper.is_current() and not self.is_draining:
                 self._work_once()
 
     def note_version(self, worker: str, line: str, version: int) -> None:
@@ -111,6 +122,7 @@
         self.loads = {key: task for key, task in self.loads.items() if not task.done()}
         self.holds = {n: hold for n, hold in self.holds.items() if n in self.rosters.roster.backends}
         self.again_micros = {n: at for n, at in self.again_micros.items() if at > now_micros}
+        self.failure_counts = {n: c for n, c in self.failure_counts.items() if n in self.rosters.roster.backends}
         for line in self.keeper.view.weights:
             wanted = self._wanted(line)
             if wanted is None:
@@ -165,7 +177,8 @@
         room = len(workers) if is_late else max(1, len(workers) // 3)
         busy = {key[1] for key in self.loads if key[0] == line}
         busy |= {b.name for b in workers if self.book.is_loading(b.name)}
-        for backend in pending:
+        # One that failed does not keep others from their turn.
+        for backend in sorted(pending, key=lambda b: self.failure_counts.get(b.name, 0)):
             if len(busy) >= room:
                 return
             if backend.name in busy or backend.name in self.again_micros:
@@ -180,6 +193,8 @@
         if await self._take_hold(backend.name) is None:
             self.again_micros[backend.name] = self.clock.now() + AGAIN_MICROS // 4
             return
+        if not self._is_behind(backend, line, wanted):
+            return  # Word of it came meanwhile: this node had slept, or another was quicker.
         is_done = False
         await self._tell_loading(backend.name, line, wanted)
         try:
@@ -191,14 +206,20 @@
                 if outcome is OrderOutcome.HOLDS_ALREADY:
                     is_done = True
                 elif outcome in (OrderOutcome.TAKEN, OrderOutcome.BUSY, None):
-                    is_done = await self._watch(line, backend, wanted, isinstance(outcome, OrderOutcome))
+                    watched = await self._watch(line, backend, wanted, outcome is OrderOutcome.TAKEN)
+                    if watched is None:
+                        break
+                    is_done = watched
                 else:
                     break
                 if is_done:
                     break
         finally:
-            if not is_done:
-                self.again_micros[backend.name] = self.clock.now() + AGAIN_MICROS
+            if is_done:
+                self.failure_counts.pop(backend.name, None)
+            else:
+                count = self.failure_counts[backend.name] = self.failure_counts.get(backend.name, 0) + 1
+                self.again_micros[backend.name] = self.clock.now() + AGAIN_MICROS * min(count, 4)
             self._tell(ModelNote(
                 worker=backend.name, line=line, version=wanted if is_done else 0, loading=False
             ))
@@ -223,25 +244,26 @@
             LOGGER.warning("lathe: %s answered the order with %s.", backend.name, given.ok_value.value)
         return given.ok_value
 
-    async def _watch(self, line: str, backend: Backend, wanted: int, is_taken: bool) -> bool:
-        """Whether it runs the wanted version; False once it surely has no order of ours to do."""
+    async def _watch(self, line: str, backend: Backend, wanted: int, is_taken: bool) -> bool | None:
+        """Whether it runs the wanted version; False once it has no order of ours to do, None if it can't be asked."""
         began_micros = self.clock.now()
         told_micros = began_micros
         wait_micros = FIRST_REPORT_MICROS if is_taken else NEXT_REPORT_MICROS
-        idle_count = 0
+        idle_count = silent_count = 0
         while self.clock.now() - began_micros < LOAD_LIMIT_MICROS:
             await rest(self.clock, wait_micros)
             if (self.book.version_of(backend.name, line) or 0) >= wanted:
                 return True
-            if backend.name not in self.rosters.roster.backends:
-                return False
+            if backend.name not in self.rosters.roster.backends or silent_count >= SILENT_REPORTS:
+                return None
             given = await self.control.report(backend.address, REPORT_LIMIT_MICROS)
+            silent_count = silent_count + 1 if isinstance(given, Err) else 0
             if isinstance(given, Ok):
                 if given.ok_value.versions.get(line, 0) >= wanted:
                     return True
                 # A report is some hundred milliseconds old: three without an order tell that there is none.
                 idle_count = 0 if given.ok_value.is_loading else idle_count + 1
-                if idle_count >= 3:
+                if idle_count >= IDLE_REPORTS:
                     return False
             now_micros = self.clock.now()
             # What runs ends first, which may take seconds: reports cost, so they come more seldom then.
@@ -249,7 +271,7 @@
             if now_micros - told_micros >= SECOND:
                 told_micros = now_micros
                 self._tell(ModelNote(worker=backend.name, line=line, version=wanted, loading=True))
-        return False
+        return None
 
     # ---- holds -----------------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_kept_gatherer.py
@@ -0,0 +1,149 @@
+"""What is kept, gathered by one node for each worker and told to all, on virtual time."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from pearhead.awl.clock import MILLI, SECOND
+from pearhead.awl.wire_pb2 import KeptNote, KeptPart
+from pearhead.jig.sim.world import World, pause, run_virtual
+from pearhead.lathe.kept_gatherer import pack_parts, unpack_note
+from pearhead.lathe.worker_control import KeptEvent
+from tests.workerfleet import LINE, WorkerFleet, busiest_second, sent_bytes
+
+
+def make_event(part: str, tokens: int, salt: str = "a-salt-of-some-length-as-they-are") -> KeptEvent:
+    return KeptEvent(tokens > 0, salt, part, tokens, LINE)
+
+
+def run_fleet(
+    node_count: int, worker_count: int, play: Callable[[WorkerFleet], Coroutine[Any, Any, Any]], seed: int = 1
+) -> Any:
+    async def whole(world: World) -> Any:
+        fleet = WorkerFleet(world, node_count, worker_count)
+        fleet.start("rosters", "gatherer")
+        await pause(world, 6 * SECOND)
+        result = await play(fleet)
+        assert not fleet.faults(), fleet.faults()
+        return result
+
+    return run_virtual(seed, whole)
+
+
+class PackTest(unittest.TestCase):
+    def test_salts_and_lines_are_said_once(self) -> None:
+        parts = [KeptPart(salt=s, part=p, tokens=5, line=LINE) for s, p in (("s", "1"), ("s", "2"), ("t", "3"))]
+        packed = pack_parts(parts)
+        self.assertEqual([p.salt for p in packed], ["s", "", "t"])
+        self.assertEqual(list(unpack_note(KeptNote(part=packed)).part), parts)
+
+
+class KeptGathererTest(unittest.TestCase):
+    def test_one_node_asks_for_each_and_all_are_told(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            began = fleet.world.now()
+            worker = fleet.platform.workers["w1"]
+            for number in range(20):
+                worker.events.append(make_event(f"{number:08x}", 100 + number))
+                await pause(fleet.world, 50 * MILLI)
+            worker.events.append(make_event("00000003", 0))
+            await pause(fleet.world, 300 * MILLI)
+            wanted = {("a-salt-of-some-length-as-they-are", f"{n:08x}"): 100 + n for n in range(20) if n != 3}
+            for node in fleet.nodes:
+                self.assertEqual(node.sink.kept("w1"), wanted, node.name)
+            calls = [c for c in fleet.platform.event_calls if c[0] >= began]
+            for asked in ("w0:80", "w1:80"):
+                self.assertEqual(len({node for _, node, address, _ in calls if address == asked}), 1)
+            self.assertLessEqual(busiest_second([at for at, _, address, _ in calls if address == "w1:80"]), 11)
+            idle = [at for at, _, address, _ in calls if address == "w0:80"]
+            self.assertLessEqual(busiest_second(idle), 2, "an idle worker's call is held")
+            for address in ("w0:80", "w1:80", "w2:80", "store:1"):
+                self.assertTrue([c for c in fleet.platform.event_calls if c[2] == address], address)
+
+        run_fleet(8, 3, play)
+
+    def test_events_of_a_pause_are_one_note(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            node = fleet.nodes[0]
+            before = len(node.sink.notes)
+            for number in range(100):
+                fleet.platform.workers["w0"].events.append(make_event(f"{number:08x}", 9))
+                await pause(fleet.world, 10 * MILLI)
+            await pause(fleet.world, 300 * MILLI)
+            notes = node.sink.notes[before:]
+            self.assertLessEqual(len(notes), 13)
+            self.assertEqual(len(node.sink.kept("w0")), 100)
+            for earlier, later in zip(notes, notes[1:], strict=False):
+                self.assertEqual(earlier.sequence, later.from_sequence, "spans follow one another")
+
+        run_fleet(5, 1, play)
+
+    def test_a_gap_and_another_life_begin_anew(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            worker = fleet.platform.workers["w0"]
+            worker.events += [make_event("1", 5), make_event("2", 5)]
+            await pause(fleet.world, 400 * MILLI)
+            # Only the newest are kept: two went unseen.
+            worker.first_number, worker.events = 5, [make_event("5", 7)]
+            await pause(fleet.world, 1_200 * MILLI)
+            for node in fleet.nodes:
+                self.assertEqual({p for _, p in node.sink.kept("w0")}, {"5"}, node.name)
+            worker.life, worker.first_number, worker.events = "2", 1, [make_event("9", 3)]
+            await pause(fleet.world, 2 * SECOND)
+            for node in fleet.nodes:
+                self.assertEqual({p for _, p in node.sink.kept("w0")}, {"9"}, node.name)
+                self.assertEqual(node.sink.notes[-1].life, "2")
+
+        run_fleet(5, 1, play)
+
+    def test_the_next_gatherer_goes_on_from_the_last_sequence(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            worker = fleet.platform.workers["w0"]
+            worker.events += [make_event("1", 5), make_event("2", 5)]
+            await pause(fleet.world, SECOND)
+            gatherer = fleet.node_of([c for c in fleet.platform.event_calls if c[2] == "w0:80"][-1][1])
+            gatherer.machine.freeze()
+            worker.events.append(make_event("3", 5))
+            began = fleet.world.now()
+            await pause(fleet.world, 8 * SECOND)
+            others = [n for n in fleet.nodes if n is not gatherer]
+            for node in others:
+                self.assertEqual({p for _, p in node.sink.kept("w0")}, {"1", "2", "3"}, node.name)
+                self.assertEqual([n.worker for n in node.sink.notes if n.whole].count("w0"), 1, "nothing began anew")
+            sinces = [c[3] for c in fleet.platform.event_calls if c[2] == "w0:80" and c[0] >= began]
+            self.assertEqual(min(sinces), 2)
+            gatherer.machine.wake()
+            worker.events.append(make_event("4", 5))
+            await pause(fleet.world, 3 * SECOND)
+            for node in fleet.nodes:
+                self.assertEqual({p for _, p in node.sink.kept("w0")}, {"1", "2", "3", "4"}, node.name)
+
+        run_fleet(5, 1, play)
+
+    def test_a_silent_worker_is_asked_more_seldom_and_one_that_is_gone_not_at_all(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            fleet.platform.workers["w0"].is_up = False
+            await pause(fleet.world, 5 * SECOND)
+            began = fleet.world.now()
+            await pause(fleet.world, 5 * SECOND)
+            calls = [c for c in fleet.platform.event_calls if c[2] == "w0:80" and c[0] >= began]
+            self.assertLessEqual(len(calls), 3)
+            del fleet.platform.listed["w0"]
+            await pause(fleet.world, 5 * SECOND)
+            began = fleet.world.now()
+            await pause(fleet.world, 5 * SECOND)
+            self.assertEqual([c for c in fleet.platform.event_calls if c[2] == "w0:80" and c[0] >= began], [])
+
+        run_fleet(4, 2, play)
+
+    def test_notes_are_small(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            before = sent_bytes(fleet.nodes, "kept_note")
+            for number in range(50):
+                fleet.platform.workers["w0"].events.append(make_event(f"{number:08x}", 700))
+            await pause(fleet.world, SECOND)
+            self.assertLess((sent_bytes(fleet.nodes, "kept_note") - before) / 4 / 50, 25, "bytes a part and node")
+
+        run_fleet(5, 1, play)
--- /dev/null
+++ b/tests/test_roll_out.py
@@ -0,0 +1,280 @@
+"""Roll-outs over a fleet on virtual time: a third at a time, lost replies, and holds through freezes and cuts."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from pearhead.awl.clock import MILLI, SECOND
+from pearhead.awl.wire_pb2 import ModelNote
+from pearhead.jig.sim.world import World, pause, run_virtual
+from pearhead.lathe.rendezvous import rank_of
+from pearhead.lathe.version_book import LOADING_MICROS, VersionBook
+from pearhead.lathe.worker_control import LoadOrder, OrderOutcome
+from tests.workerfleet import LINE, FleetNode, ModelWorker, WorkerFleet, find_turns
+
+
+def run_fleet(
+    node_count: int, worker_count: int, play: Callable[[WorkerFleet], Coroutine[Any, Any, Any]], seed: int = 1
+) -> Any:
+    async def whole(world: World) -> Any:
+        fleet = WorkerFleet(world, node_count, worker_count)
+        fleet.core.list_workers(fleet.platform)
+        fleet.start("rosters", "roll_out")
+        await pause(world, 4 * SECOND)
+        result = await play(fleet)
+        assert not fleet.faults(), fleet.faults()
+        assert not find_turns(fleet.platform.orders), find_turns(fleet.platform.orders)
+        return result
+
+    return run_virtual(seed, whole)
+
+
+def versions(fleet: WorkerFleet) -> list[int]:
+    for worker in fleet.platform.workers.values():
+        fleet.platform.settle(worker)
+    return [worker.version for worker in fleet.platform.workers.values()]
+
+
+def orderer_of(fleet: WorkerFleet) -> FleetNode:
+    identities = [node.identity for node in fleet.nodes]
+    return next(n for n in fleet.nodes if rank_of(n.identity, identities, f"roll-out/{LINE}") == 0)
+
+
+class Hand:
+    def __init__(self) -> None:
+        self.micros = 100 * SECOND
+
+    def now(self) -> int:
+        return self.micros
+
+    def after(self, delayMicros: int, callback: Callable[[], None]) -> Any:
+        raise AssertionError("it has no timer")
+
+
+class VersionBookTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.hand = Hand()
+        self.book = VersionBook(self.hand)
+
+    def tell(self, version: int, loading: bool) -> bool:
+        return self.book.take_note(ModelNote(worker="w", line=LINE, version=version, loading=loading))
+
+    def test_versions_only_rise(self) -> None:
+        self.assertIsNone(self.book.version_of("w", LINE))
+        self.assertTrue(self.book.note("w", LINE, 3))
+        self.assertFalse(self.book.note("w", LINE, 2))
+        self.tell(2, loading=False)
+        self.assertEqual(self.book.version_of("w", LINE), 3)
+
+    def test_loading_ends_by_word_or_by_time(self) -> None:
+        self.book.note("w", LINE, 1)
+        self.tell(2, loading=True)
+        self.assertTrue(self.book.is_loading("w"))
+        self.tell(2, loading=False)
+        self.assertEqual((self.book.is_loading("w"), self.book.version_of("w", LINE)), (False, 2))
+        self.tell(2, loading=True)
+        self.assertFalse(self.book.is_loading("w"), "a late double of the first word")
+        self.tell(3, loading=True)
+        self.tell(0, loading=False)
+        self.assertEqual((self.book.is_loading("w"), self.book.version_of("w", LINE)), (False, 2), "it failed")
+        self.tell(3, loading=True)
+        self.hand.micros += LOADING_MICROS
+        self.assertFalse(self.book.is_loading("w"))
+        self.tell(3, loading=True)
+        self.book.note("w", LINE, 3)
+        self.assertFalse(self.book.is_loading("w"), "an answer told of the new weights")
+
+
+class RollOutTest(unittest.TestCase):
+    def test_a_third_at_a_time_and_all_within_five_seconds(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            fleet.core.name(2)
+            await pause(fleet.world, 3_500 * MILLI)
+            self.assertEqual(set(versions(fleet)), {2})
+            self.assertLessEqual(fleet.platform.most_loading, 4)
+            self.assertEqual(len(fleet.platform.orders), 12, "one order each")
+            self.assertLessEqual(len(fleet.platform.report_calls), 24)
+            self.assertEqual(len({order.holder for order in fleet.platform.orders}), 1)
+            for node in fleet.nodes:
+                self.assertEqual([node.book.version_of(f"w{n}", LINE) for n in range(12)], [2] * 12)
+                self.assertFalse(any(node.book.is_loading(f"w{n}") for n in range(12)))
+            holds = len(fleet.core.commands)
+            await pause(fleet.world, 10 * SECOND)
+            self.assertEqual(len(fleet.core.commands), holds, "nothing is renewed between roll-outs")
+
+        run_fleet(6, 12, play)
+
+    def test_nodes_leave_a_worker_alone_before_it_is_ordered(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            placed: list[tuple[str, str]] = []
+
+            waiting: list[str] = []
+            original = fleet.platform.order
+
+            def order(worker: ModelWorker, sent: LoadOrder) -> OrderOutcome:
+                waiting.append(sent.worker)
+                placed.extend((n.name, sent.worker) for n in fleet.nodes if not n.book.is_loading(sent.worker))
+                return original(worker, sent)
+
+            fleet.platform.order = order  # type: ignore[method-assign,assignment]
+            fleet.core.name(2)
+            await pause(fleet.world, 4 * SECOND)
+            self.assertEqual(len(waiting), 6)
+            self.assertEqual(placed, [])
+
+        run_fleet(6, 6, play)
+
+    def test_long_runs_hold_a_third_up_and_the_rest_goes_at_once_when_it_is_late(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            for worker in fleet.platform.workers.values():
+                worker.run_micros = 2 * SECOND
+            fleet.core.name(2)
+            await pause(fleet.world, 4_500 * MILLI)
+            self.assertLessEqual(fleet.platform.most_loading, 2)
+            await pause(fleet.world, 3_500 * MILLI)
+            self.assertEqual(set(versions(fleet)), {2})
+
+        run_fleet(4, 8, play)
+
+    def test_leaving_workers_are_left_alone(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            listed = fleet.platform.listed
+            listed["w1"] = dataclasses.replace(listed["w1"], is_leaving=True)
+            await pause(fleet.world, 3 * SECOND)
+            fleet.core.name(2)
+            await pause(fleet.world, 4 * SECOND)
+            self.assertEqual(versions(fleet), [2, 1, 2])
+
+        run_fleet(4, 3, play)
+
+    def test_lost_replies_are_asked_after_and_ordered_again(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            fleet.platform.workers["w0"].loses_replies = 1
+            fleet.platform.workers["w1"].loses_replies = 2
+            fleet.core.name(2)
+            await pause(fleet.world, 5 * SECOND)
+            self.assertEqual(versions(fleet), [2, 2, 2])
+            self.assertEqual({w.order_count for w in fleet.platform.workers.values()}, {1}, "none loads twice")
+
+        run_fleet(4, 3, play)
+
+    def test_a_worker_that_does_not_answer_is_ordered_when_it_is_back(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            fleet.platform.workers["w0"].is_up = False
+            fleet.core.name(2)
+            await pause(fleet.world, 4 * SECOND)
+            self.assertEqual(versions(fleet), [1, 2, 2])
+            fleet.platform.workers["w0"].is_up = True
+            await pause(fleet.world, 4 * SECOND)
+            self.assertEqual(versions(fleet), [2, 2, 2])
+
+        run_fleet(4, 3, play)
+
+    def test_a_later_naming_overtakes(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            fleet.core.name(2)
+            await pause(fleet.world, 500 * MILLI)
+            fleet.core.name(3)
+            await pause(fleet.world, 5 * SECOND)
+            self.assertEqual(set(versions(fleet)), {3})
+            late = [o for o in fleet.platform.orders if o.version == 2 and o.at_micros > fleet.world.now() - 5 * SECOND]
+            self.assertEqual(late, [], "nobody is ordered to older weights")
+
+        run_fleet(4, 6, play)
+
+    def test_an_order_frozen_before_its_first_byte_is_not_sent_after_the_term(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            orderer = orderer_of(fleet)
+            frozen: list[int] = []
+
+            def freeze() -> None:
+                if not frozen:
+                    frozen.append(fleet.world.now())
+                    orderer.machine.freeze()
+
+            orderer.control.before_order = freeze
+            fleet.core.name(2)
+            await pause(fleet.world, 12 * SECOND)
+            self.assertEqual(set(versions(fleet)), {2}, "another node went on")
+            before = len(fleet.platform.orders)
+            self.assertEqual({o.holder for o in fleet.platform.orders} & {orderer.identity}, set())
+            orderer.machine.wake()
+            await pause(fleet.world, 3 * SECOND)
+            self.assertEqual(len(fleet.platform.orders), before, "it sends nothing when it wakes")
+
+        run_fleet(5, 6, play)
+
+    def test_the_next_takes_over_what_another_left(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            orderer = orderer_of(fleet)
+            fleet.core.name(2)
+            await pause(fleet.world, 300 * MILLI)
+            self.assertTrue(fleet.platform.orders)
+            orderer.machine.crash(losesPower=True)
+            await pause(fleet.world, 9 * SECOND)
+            self.assertEqual(set(versions(fleet)), {2})
+            self.assertGreater(len({o.holder for o in fleet.platform.orders}), 1)
+
+        for seed in range(1, 5):
+            run_fleet(5, 9, play, seed)
+
+    def test_two_that_order_at_once_never_take_turns(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            for node in fleet.nodes[:2]:
+                node.roll_out._is_turn = lambda line, state: True  # type: ignore[method-assign]
+            fleet.core.name(2)
+            await pause(fleet.world, 9 * SECOND)
+            self.assertEqual(set(versions(fleet)), {2})
+            fleet.core.name(3)
+            await pause(fleet.world, 9 * SECOND)
+            self.assertEqual(set(versions(fleet)), {3})
+
+        for seed in range(1, 5):
+            run_fleet(4, 6, play, seed)
+
+    def test_freezes_cuts_and_new_leaders_never_break_the_rules_on_orders(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            chance = random.Random(fleet.world.seed)
+            version = 1
+            for _ in range(30):
+                strike = chance.choice(("freeze", "wake", "cut", "join", "lead", "name", "name"))
+                node = chance.choice(fleet.nodes)
+                if strike == "freeze" and sum(n.machine.isFrozen for n in fleet.nodes) < 3:
+                    node.machine.freeze()
+                elif strike == "wake":
+                    node.machine.wake()
+                elif strike in ("cut", "join"):
+                    node.keeper.is_cut_off = strike == "cut"
+                elif strike == "lead":
+                    # A new leader knows fences from its log, and not since when (§7.2).
+                    fleet.core.leaderSince = fleet.world.now()
+                    fleet.core.holdSeen = {
+                        w: (h["fence"], fleet.world.now()) for w, h in fleet.core.fleet.holds.items()
+                    }
+                elif strike == "name":
+                    version += 1
+                    fleet.core.name(version)
+                await pause(fleet.world, chance.randrange(20, 2_500) * MILLI)
+            for node in fleet.nodes:
+                node.machine.wake()
+                node.keeper.is_cut_off = False
+            await pause(fleet.world, 15 * SECOND)
+            self.assertEqual(set(versions(fleet)), {version})
+
+        for seed in range(1, 16):
+            with self.subTest(seed=seed):
+                run_fleet(5, 6, play, seed)
+
+    def test_an_application_on_the_list_is_no_concern(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            fleet.platform.add("desk0", service="desk")
+            await pause(fleet.world, 2 * SECOND)
+            fleet.core.name(2)
+            await pause(fleet.world, 3 * SECOND)
+            self.assertEqual(versions(fleet), [2, 2, 1])
+
+        run_fleet(3, 2, play)
--- a/tests/workerfleet.py
+++ b/tests/workerfleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import random
 from collections.abc import Callable
@@ -119,6 +120,13 @@
             self.settle(worker)
         return [n for n, w in self.workers.items() if w.loading_version]
 
+    def show_list(self) -> list[Backend]:
+        for name, worker in self.workers.items():
+            self.settle(worker)
+            if name in self.listed:
+                self.listed[name] = dataclasses.replace(self.listed[name], versions={LINE: worker.version})
+        return list(self.listed.values())
+
     def order(self, worker: ModelWorker, order: LoadOrder) -> OrderOutcome:
         self.settle(worker)
         self.orders.append(SeenOrder(self.world.now(), order.worker, order.holder, order.fence, order.version))
@@ -152,7 +160,7 @@
         if not self.platform.is_list_up or self.machine.name in self.platform.listers_cut:
             await rest(self.machine, limit_micros)
             return Err("no answer")
-        listed = list(self.platform.listed.values())
+        listed = self.platform.show_list()
         await rest(self.machine, 2 * MILLI)
         return Ok(listed)
 
