A lost note of kept parts leaves no gap: each datagram says the one before it again

Cause: the index forgets a worker at a gap, so one datagram lost in a hundred, or a call that brought nothing to tell, threw away all that was known of a worker at that node. Ruled out: frames for all notes (a connection a pair of nodes, held up by a slow one), a whole list on a gap (it holds the worker up and is priced).

--- a/src/pearhead/lathe/kept_gatherer.py
+++ b/src/pearhead/lathe/kept_gatherer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
@@ -44,14 +45,19 @@
 
 @dataclass(frozen=True)
 class _Cursor:
-    """Up to where a worker's events were told, and the life before this one, whose late notes count for nothing."""
+    """Up to where a worker was asked and its events told, and the life before, whose late notes count for nothing."""
 
     life: str = ""
     sequence: int = 0
     former_life: str = ""
+    told_sequence: int = 0
 
     def moved(self, life: str, sequence: int) -> _Cursor:
-        return _Cursor(life, sequence, self.former_life if life == self.life else self.life)
+        return _Cursor(life, sequence, self.former_life if life == self.life else self.life, sequence)
+
+    def passed(self, sequence: int) -> _Cursor:
+        """Asked further with nothing to tell."""
+        return dataclasses.replace(self, sequence=sequence)
 
 
 START = _Cursor()
@@ -69,6 +75,35 @@
     return packed
 
 
+def last_words(parts: Iterable[KeptPart]) -> list[KeptPart]:
+    """The last word on a part is the one that counts; of too many, the newest."""
+    words: dict[tuple[str, str, str], KeptPart] = {}
+    for part in parts:
+        key = (part.line, part.salt, part.part)
+        words.pop(key, None)
+        words[key] = part
+    newest = list(words.items())[-PARTS_A_NOTE:]
+    return [part for _, part in sorted(newest, key=lambda item: item[0])]
+
+
+def join_notes(earlier: KeptNote | None, note: KeptNote) -> KeptNote | None:
+    """Both as one, so that one datagram that is lost costs nothing; None if the later does not follow the earlier."""
+    if earlier is None or note.whole or earlier.life != note.life or earlier.sequence != note.from_sequence:
+        return None
+    return KeptNote(
+        worker=note.worker, life=note.life, from_sequence=earlier.from_sequence, sequence=note.sequence,
+        whole=earlier.whole, part=last_words([*earlier.part, *note.part]),
+    )
+
+
+def pack_note(note: KeptNote) -> KeptNote:
+    packed = KeptNote()
+    packed.CopyFrom(note)
+    del packed.part[:]
+    packed.part.extend(pack_parts(note.part))
+    return packed
+
+
 def unpack_note(note: KeptNote) -> KeptNote:
     whole = KeptNote()
     whole.CopyFrom(note)
@@ -98,6 +133,7 @@
         self.sink = sink
         self.pause_micros = pause_micros
         self.cursors: dict[str, _Cursor] = {}
+        self.told_notes: dict[str, KeptNote] = {}
         self.polls: dict[str, asyncio.Task[None]] = {}
         courier.on_tell("kept_note", self._take_note)
 
@@ -118,6 +154,7 @@
                 self.polls.pop(name).cancel()
         for name in set(self.cursors) - set(targets):
             del self.cursors[name]
+            self.told_notes.pop(name, None)
         for name, address in mine.items():
             if name not in self.polls:
                 self.polls[name] = self.crew.start(self._gather(name, address))
@@ -159,33 +196,27 @@
             self._tell(name, 0, begin, is_whole=True)
             return
         if given.is_dropped:
-            self._tell(name, asked.sequence, given, is_whole=True)
+            self._tell(name, asked.told_sequence, given, is_whole=True)
         elif given.events:
-            self._tell(name, asked.sequence, given, is_whole=False)
+            self._tell(name, asked.told_sequence, given, is_whole=False)
         elif given.next_sequence > asked.sequence:
-            self.cursors[name] = asked.moved(given.life, given.next_sequence)
+            self.cursors[name] = asked.passed(given.next_sequence)
 
     def _tell(self, name: str, from_sequence: int, given: KeptEvents, is_whole: bool) -> None:
         self.cursors[name] = self.cursors.get(name, START).moved(given.life, given.next_sequence)
-        # The last word on a part is the one that counts; without a salt it is nothing that nodes would look for.
-        last_words: dict[tuple[str, str, str], KeptPart] = {}
-        for event in given.events:
-            if event.salt:
-                last_words.pop((event.line, event.salt, event.part), None)
-                last_words[event.line, event.salt, event.part] = KeptPart(
-                    salt=event.salt, part=event.part, tokens=event.tokens, line=event.line
-                )
-        newest = list(last_words.items())[-PARTS_A_NOTE:]
+        # Without a salt it is nothing that nodes would look for.
         note = KeptNote(
-            worker=name, life=given.life, from_sequence=from_sequence, sequence=given.next_sequence,
-            whole=is_whole, part=[part for _, part in sorted(newest, key=lambda item: item[0])],
+            worker=name, life=given.life, from_sequence=from_sequence, sequence=given.next_sequence, whole=is_whole,
+            part=last_words(
+                KeptPart(salt=e.salt, part=e.part, tokens=e.tokens, line=e.line) for e in given.events if e.salt
+            ),
         )
         self.sink.take(note)
-        packed = KeptNote()
-        packed.CopyFrom(note)
-        del packed.part[:]
-        packed.part.extend(pack_parts(note.part))
         addresses = [r.address for r in self.directory.members("lathe")]
+        packed, joined = pack_note(note), join_notes(self.told_notes.get(name), note)
+        self.told_notes[name] = note
+        if joined is not None and (packed_both := pack_note(joined)).ByteSize() <= DATAGRAM_ROOM:
+            packed = packed_both
         if packed.ByteSize() <= DATAGRAM_ROOM:
             self.courier.cast(addresses, "kept_note", packed)
             return
@@ -198,6 +229,7 @@
         if is_late or (note.life == held.former_life and note.life != ""):
             return
         self.cursors[note.worker] = held.moved(note.life, note.sequence)
+        self.told_notes.pop(note.worker, None)
         unpacked = unpack_note(note)
         # The note that told of a new life may be lost, or be overtaken by the next.
         unpacked.whole = note.whole or note.life != held.life
