--- a/tests/workerfleet.py
+++ b/tests/workerfleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import random
 from collections.abc import Callable
@@ -71,6 +72,7 @@
     order_count: int = 0
     is_up: bool = True
     loses_replies: int = 0
+    is_deaf: bool = False
     life: str = "1"
     first_number: int = 1
     events: list[KeptEvent] = field(default_factory=list)
@@ -119,6 +121,13 @@
             self.settle(worker)
         return [n for n, w in self.workers.items() if w.loading_version]
 
+    def show_list(self) -> list[Backend]:
+        for name, worker in self.workers.items():
+            self.settle(worker)
+            if name in self.listed:
+                self.listed[name] = dataclasses.replace(self.listed[name], versions={LINE: worker.version})
+        return list(self.listed.values())
+
     def order(self, worker: ModelWorker, order: LoadOrder) -> OrderOutcome:
         self.settle(worker)
         self.orders.append(SeenOrder(self.world.now(), order.worker, order.holder, order.fence, order.version))
@@ -126,6 +135,8 @@
             return OrderOutcome.OTHER_WORKER
         if order.fence < worker.fence:
             return OrderOutcome.OLDER_FENCE
+        if worker.is_deaf:
+            return OrderOutcome.BUSY
         worker.fence = order.fence
         if worker.version == order.version:
             return OrderOutcome.HOLDS_ALREADY
@@ -152,7 +163,7 @@
         if not self.platform.is_list_up or self.machine.name in self.platform.listers_cut:
             await rest(self.machine, limit_micros)
             return Err("no answer")
-        listed = list(self.platform.listed.values())
+        listed = self.platform.show_list()
         await rest(self.machine, 2 * MILLI)
         return Ok(listed)
 
@@ -263,6 +274,7 @@
         self.machine = machine
         self.held = core.view
         self.is_cut_off = False
+        self.is_unheard = False
         self.current_at = machine.now()
 
     @property
@@ -280,7 +292,7 @@
 
     async def command(self, command: Command) -> Result[CommandResult, str]:
         await rest(self.machine, 2 * MILLI)
-        if self.is_cut_off:
+        if self.is_cut_off or self.is_unheard:
             await rest(self.machine, 700 * MILLI)
             return Err("no answer")
         outcome = self.core.execute(command)
