Routes lie one by one in the cores' state, so a large change blocks no core for long

Cause: 12,000 routes (3.3 MB) held a core for 0.25 s in one parse, 0.5 s in one apply and 0.25 s in one digest, and a node read all routes anew after each small change.

Routes go as items with what nodes are shown and the operators' own text, both JSON bytes, which no core reads when it applies. A digest holds them as they lie. A view carries over what it read of buckets that did not change. A large batch is not sent again at each heartbeat while it is on its way.

Ruled out: one JSON document in the log (its parse alone is above 100 ms on this machine under load).

--- a/src/pearhead/anvil/change.py
+++ b/src/pearhead/anvil/change.py
@@ -1,9 +1,14 @@
-"""Changes of the description under operators' own numbers (§5.4): merged alike by every core, checked by the leader."""
+"""Changes of the description under operators' own numbers (§5.4): merged alike by every core, checked by the leader.
+
+Routes may be many, so they are kept one by one as they are shown and given back: JSON bytes that no core has to read
+when a change is applied.
+"""
 
 from __future__ import annotations
 
 import hashlib
 import json
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -21,24 +26,27 @@
     Route,
     RouteCheck,
     Service,
+    Split,
     Tenant,
     build_checked,
     find_faults,
 )
-from pearhead.awl.wire_pb2 import ChangeDescription
+from pearhead.awl.wire_pb2 import ChangeDescription, Item
 
-NAMED_KINDS = ("routes", "services", "tenants")
-CHECKED_KINDS = ("lines", "services", "entries", "tenants", "routes")
+NAMED_KINDS = ("services", "tenants")
 FIRST_WEIGHTS = "1"
 
+Json = dict[str, Any]
+Routes = dict[str, tuple[bytes, bytes]]
+Breathe = Callable[[], Awaitable[None]]
+
 
 @dataclass(frozen=True)
-class _Piece:
-    lines: list[Line] = field(default_factory=list)
+class _Put:
     services: list[Service] = field(default_factory=list)
     entries: list[CapabilityEntry] = field(default_factory=list)
     tenants: list[Tenant] = field(default_factory=list)
-    routes: list[Route] = field(default_factory=list)
+    lines: list[Line] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -50,16 +58,38 @@
 
 @dataclass(frozen=True)
 class _ByName:
-    put: _Piece = field(default_factory=_Piece)
+    put: _Put = field(default_factory=_Put)
     remove: _Removed = field(default_factory=_Removed)
     put_limits: Limits = field(default_factory=Limits)
     source: str = ""
 
 
+def to_json(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode("utf-8", "surrogatepass")
+
+
+def to_item(item: Json) -> Item:
+    """Raises KeyError, TypeError or ValueError where it has no name or a source that is no text."""
+    shown = {name: value for name, value in item.items() if name != "source"}
+    return Item(name=item["name"], shown=to_json(shown), source=item.get("source", "").encode("utf-8", "surrogatepass"))
+
+
+def to_route(shown: bytes, source: bytes) -> Json:
+    route: Json = json.loads(shown)
+    if source:
+        route["source"] = source.decode("utf-8", "surrogatepass")
+    return route
+
+
 def hash_change(change: ChangeDescription) -> str:
-    """What makes two changes the same one, whenever they were checked."""
+    """What makes two changes the same one, whenever they were checked. The leader's own is taken where it is told."""
+    if change.content_hash:
+        return change.content_hash
     change_hash = hashlib.blake2b(change.document, digest_size=16)
     change_hash.update(f":{change.base_number}:{change.number}:{change.by_name}".encode())
+    for item in change.route:
+        change_hash.update(f":{len(item.shown)}:{len(item.source)}:".encode())
+        change_hash.update(item.shown + item.source)
     return change_hash.hexdigest()
 
 
@@ -71,9 +101,30 @@
     return value
 
 
-def merge_change(present: dict[str, Any], document: dict[str, Any], by_name: bool) -> dict[str, Any]:
-    """The description that comes of a change. What is put replaces the item of its name in its place, or is added at
-    the end; what is removed goes first."""
+def move_routes(change: ChangeDescription, document: Json) -> None:
+    """Routes that came inside the document go apart from it; a second call finds none left."""
+    holder = document.get("put", {}) if change.by_name else document
+    routes = holder.pop("routes", None)
+    if routes:
+        change.route.extend(to_item(item) for item in routes)
+    if routes is not None:
+        change.document = to_json(document)
+
+
+def merge_routes(held: Routes, change: ChangeDescription, document: Json) -> Routes:
+    """The routes that come of a change: what is put replaces the route of its name in its place, or is added at the
+    end; what is removed goes first."""
+    merged = dict(held) if change.by_name else {}
+    if change.by_name:
+        for name in document.get("remove", {}).get("routes", []):
+            merged.pop(name, None)
+    for item in change.route:
+        merged[item.name] = (item.shown, item.source)
+    return merged
+
+
+def merge_document(present: Json, document: Json, by_name: bool) -> Json:
+    """All else than the routes of the description that comes of a change, likewise."""
     if not by_name:
         return {**document, "lines": _with_named_lines(document.get("lines", []), document.get("services", []))}
     merged = dict(present)
@@ -97,7 +148,7 @@
     return merged
 
 
-def _with_named_lines(lines: list[dict[str, Any]], services: list[dict[str, Any]]) -> list[dict[str, Any]]:
+def _with_named_lines(lines: list[Json], services: list[Json]) -> list[Json]:
     """A line that a service names needs no word of its own: it begins with the first weights."""
     found = {line["name"]: line for line in lines}
     for service in services:
@@ -109,62 +160,76 @@
 class ChangeChecker:
     """Looks at a change in pieces, as the leader does before it goes into the log."""
 
-    def __init__(self, breathe: Callable[[], Awaitable[None]]) -> None:
+    def __init__(self, breathe: Breathe) -> None:
         self.breathe = breathe
 
-    async def check(self, change: ChangeDescription, present: dict[str, Any]) -> Result[None, list[str]]:
-        """Every fault of the description that would come of the change, each with its path."""
-        if len(change.document) > MAXIMUM_CHANGE:
+    async def check(self, change: ChangeDescription, present: Json, held: Routes) -> Result[None, list[str]]:
+        """Every fault of the description that would come of the change, each with its path. Routes inside the
+        document are moved out of it."""
+        if change.ByteSize() > MAXIMUM_CHANGE:
             return Err([f"document: over {MAXIMUM_CHANGE} bytes"])
         try:
             document: Any = json.loads(change.document)
         except (ValueError, RecursionError) as fault:
             return Err([f"document: can't be read: {type(fault).__name__}"])
         await self.breathe()
-        if not isinstance(document, dict):
-            return Err(["document: must be an object"])
-        faults = await self._find_shape_faults(document, change.by_name)
+        faults = self._find_shape_faults(document, change.by_name)
         if faults:
             return Err(faults)
-        merged = merge_change(present, document, change.by_name)
+        try:
+            move_routes(change, document)
+        except (KeyError, TypeError, ValueError, AttributeError):
+            return Err(["routes: each must be an object with a name, and a text as its source"])
         await self.breathe()
-        faults = find_faults(build_checked({**merged, "routes": []}), any_names=True)
+        merged = merge_document(present, document, change.by_name)
+        faults = find_faults(build_checked(merged), any_names=True)
         await self.breathe()
-        routes = merged.get("routes", [])
-        route_check = RouteCheck({s["name"]: s["role"] for s in merged.get("services", [])})
-        for start in range(0, len(routes), PIECE_SIZE):
-            piece = build_checked({"routes": routes[start : start + PIECE_SIZE]})
-            for position, route in enumerate(piece.routes, start):
-                faults.extend(route_check.find(f"routes[{position}]", route))
-            await self.breathe()
+        faults.extend(await self._find_route_faults(change, merge_routes(held, change, document), merged))
         return Err(faults) if faults else Ok(None)
 
-    async def _find_shape_faults(self, document: dict[str, Any], by_name: bool) -> list[str]:
-        put = document.get("put", {}) if by_name else document
-        if not isinstance(put, dict):
+    def _find_shape_faults(self, document: Any, by_name: bool) -> list[str]:
+        if not isinstance(document, dict):
+            return ["document: must be an object"]
+        holder = document.get("put", {}) if by_name else document
+        if not isinstance(holder, dict):
             return ["put: must be an object"]
-        path = "put." if by_name else ""
-        faults: list[str] = []
-        whole = {kind: items for kind, items in put.items() if kind in CHECKED_KINDS and isinstance(items, list)}
-        for kind, items in whole.items():
-            for start in range(0, len(items), PIECE_SIZE):
-                piece = read_checked(_Piece, {kind: items[start : start + PIECE_SIZE]})
-                if isinstance(piece, Err):
-                    faults.extend(path + _shift(kind, fault, start) for fault in piece.err_value)
-                await self.breathe()
-        rest = {kind: items for kind, items in put.items() if kind not in whole}
+        if not isinstance(holder.get("routes", []), list):
+            return ["routes: must be a list"]
+        rest = {kind: items for kind, items in holder.items() if kind != "routes"}
         shape: type[Any] = _ByName if by_name else Description
         checked = read_checked(shape, {**document, "put": rest} if by_name else rest)
-        faults.extend(checked.err_value if isinstance(checked, Err) else [])
-        if by_name and not faults:
-            for kind in NAMED_KINDS:
-                names = [item["name"] for item in put.get(kind, [])]
-                faults.extend(f"put.{kind}: {name!r} is named twice" for name in sorted(
-                    {name for name in names if names.count(name) > 1} if len(set(names)) < len(names) else ()
-                ))
+        if isinstance(checked, Err):
+            return checked.err_value
+        faults: list[str] = []
+        for kind in NAMED_KINDS if by_name else ():
+            names = [item["name"] for item in rest.get(kind, [])]
+            faults.extend(f"put.{kind}: {name!r} is named twice" for name in _find_doubles(names))
+        return faults
+
+    async def _find_route_faults(self, change: ChangeDescription, routes: Routes, merged: Json) -> list[str]:
+        faults = [f"routes: {name!r} is named twice" for name in _find_doubles([item.name for item in change.route])]
+        put = {item.name for item in change.route}
+        route_check = RouteCheck({s["name"]: s["role"] for s in merged.get("services", [])})
+        for position, (name, (shown, _)) in enumerate(routes.items()):
+            path = f"routes[{position}]"
+            if position % PIECE_SIZE == PIECE_SIZE - 1:
+                await self.breathe()
+            try:
+                data: Any = json.loads(shown)
+            except (ValueError, RecursionError):
+                faults.append(f"{path}: can't be read")
+                continue
+            if name in put:
+                shape_faults = read_checked(Route, data)
+                if isinstance(shape_faults, Err):
+                    faults.extend(f"{path}.{fault}" for fault in shape_faults.err_value)
+                    continue
+                if data["name"] != name:
+                    faults.append(f"{path}.name: is {name!r} beside it")
+            route = Route(**{**data, "splits": [Split(**split) for split in data["splits"]]})
+            faults.extend(route_check.find(path, route))
         return faults
 
 
-def _shift(kind: str, fault: str, start: int) -> str:
-    head, bracket, tail = fault.removeprefix(f"{kind}[").partition("]")
-    return f"{kind}[{int(head) + start}]{tail}" if bracket and head.isdigit() else fault
+def _find_doubles(names: list[str]) -> list[str]:
+    return [name for name, count in Counter(names).items() if count > 1]
--- a/src/pearhead/anvil/core.py
+++ b/src/pearhead/anvil/core.py
@@ -12,7 +12,7 @@
 from google.protobuf.message import Message
 from result import Err
 
-from pearhead.anvil.change import ChangeChecker
+from pearhead.anvil.change import ChangeChecker, hash_change, to_json, to_route
 from pearhead.anvil.fleet import Fleet, UnknownCommand, to_body
 from pearhead.awl.clock import MILLI, SECOND, Clock, rest
 from pearhead.awl.courier import Courier
@@ -28,6 +28,7 @@
     CommandResult,
     DescriptionAsk,
     DescriptionResult,
+    Entry,
     FoundAsk,
     FoundResult,
     JoinAsk,
@@ -70,6 +71,7 @@
         self.fleet = Fleet()
         self.holdSeen: dict[str, tuple[int, int]] = {}
         self.leaderSince = 0
+        self.touchingPlaces: dict[tuple[int, int], bool] = {}
         self.heardVoters: dict[str, int] = {}
         self.identity = ""
         self.tellEvent: Callable[[str, int, dict[str, Any]], None] = lambda typeName, index, data: None
@@ -144,11 +146,11 @@
 
     def apply(self, index: int, commandBytes: bytes) -> dict[str, Any]:
         try:
-            outcome = self.fleet.apply(index, commandBytes)
+            command = Command.FromString(commandBytes)
+            outcome = self.fleet.apply_command(index, command)
         except UnknownCommand as fault:
             self.fail(str(fault))
             raise
-        command = Command.FromString(commandBytes)
         bodyName = command.WhichOneof("body")
         if bodyName == "hold" and outcome["status"] == "done":
             self.holdSeen[command.hold.worker] = (outcome["fence"], self.clock.now())
@@ -246,6 +248,8 @@
         if not await self.raft.confirm():
             return CommandResult(status="unavailable", body=to_body({"why": "no majority follows this core"}))
         fleet = self.fleet
+        change.content_hash = ""
+        change.content_hash = hash_change(change)
         if fleet.has_taken(change):
             return None
         if change.base_number != fleet.description_number:
@@ -254,7 +258,7 @@
             faults = [f"number: must be above {fleet.description_number}"]
             return CommandResult(status="refused", body=to_body({"faults": faults}))
         change.checked_revision = fleet.descriptionRevision
-        checked = await ChangeChecker(self._breathe).check(change, fleet.description)
+        checked = await ChangeChecker(self._breathe).check(change, fleet.description, fleet.routes)
         if isinstance(checked, Err):
             return CommandResult(status="refused", body=to_body({"faults": checked.err_value[:20]}))
         return None
@@ -290,10 +294,20 @@
         """The last index in this log that touches what nodes see, committed or not (§5.3)."""
         for index in range(self.raft.last_index(), self.raft.appliedIndex, -1):
             entry = self.raft.entry_at(index)
-            if entry is not None and entry.kind == KIND_COMMAND and Fleet.touches_view(entry.payload):
+            if entry is not None and entry.kind == KIND_COMMAND and self._touches_view(entry):
                 return index
         return self.fleet.visibleIndex
 
+    def _touches_view(self, entry: Entry) -> bool:
+        """Each node asks three times a second, and a command may be large: it is read once."""
+        place = (entry.epoch, entry.index)
+        if place not in self.touchingPlaces:
+            self.touchingPlaces = {
+                p: t for p, t in self.touchingPlaces.items() if p[1] > self.raft.appliedIndex
+            }
+            self.touchingPlaces[place] = Fleet.touches_view(entry.payload)
+        return self.touchingPlaces[place]
+
     async def _make_term_result(self, identity: str, address: str, ask: TermAsk) -> TermResult:
         membersIndex, members = self.raft._members_up_to(self.raft.last_index())
         result = TermResult(
@@ -408,31 +422,37 @@
         }
 
     async def read_description(self) -> dict[str, Any] | None:
-        """The description as of now with its number and all sources, on any core (§5.4). None: nobody who can tell
-        is in reach."""
+        """Number and items as of now with all sources, on any core (§5.4). None: nobody who can tell is in reach."""
+        result = await self.fetch_description()
+        if result is None:
+            return None
+        description = json.loads(result.document)
+        if result.route:
+            description["routes"] = [to_route(item.shown, item.source) for item in result.route]
+        return {"number": result.number, "description": description}
+
+    async def fetch_description(self) -> DescriptionResult | None:
+        """The same with the routes as they are kept, which costs little where they are many."""
         result = await self._make_description_result("", "", DescriptionAsk())
-        leader_address = self.raft.leader_address()
-        if not result.held and leader_address and not self.raft.is_leader():
-            given = await self.courier.ask(leader_address, "descriptionAsk", DescriptionAsk(), COMMAND_MICROS)
-            if isinstance(given, Err):
+        leaderAddress = self.raft.leader_address()
+        if not result.held and leaderAddress and not self.raft.is_leader():
+            givenResult = await self.courier.ask(leaderAddress, "descriptionAsk", DescriptionAsk(), COMMAND_MICROS)
+            if isinstance(givenResult, Err):
                 return None
-            result = given.ok_value
-        if not result.held:
-            return None
-        return {"number": result.number, "description": json.loads(result.document)}
+            result = givenResult.ok_value
+        return result if result.held else None
 
     async def _make_description_result(self, identity: str, address: str, ask: DescriptionAsk) -> DescriptionResult:
         if not self.raft.is_leader() or not await self.raft.confirm():
             return DescriptionResult()
-        document = json.dumps(self.fleet.description, separators=(",", ":")).encode()
-        return DescriptionResult(held=True, number=self.fleet.description_number, document=document)
+        result = DescriptionResult(held=True, number=self.fleet.description_number)
+        result.document = to_json(self.fleet.description)
+        for name, (shown, source) in self.fleet.routes.items():
+            result.route.add(name=name, shown=shown, source=source)
+        return result
 
     async def read_fleet(self) -> dict[str, Any] | None:
         """The state as of now, read at the leader after a majority confirmed it; None elsewhere."""
         if not await self.raft.confirm():
             return None
-        whole: dict[str, Any] = json.loads(self.fleet.take_digest())
-        return {name: whole[name] for name in (
-            "description", "descriptionRevision", "description_number", "history", "workers", "weights", "holds",
-            "loads", "volumeIndexes", "visibleIndex",
-        )}
+        return self.fleet.read()
--- a/src/pearhead/anvil/fleet.py
+++ b/src/pearhead/anvil/fleet.py
@@ -10,7 +10,17 @@
 from typing import Any
 
 from pearhead import PEARHEAD_RELEASE
-from pearhead.anvil.change import hash_change, merge_change, without_source
+from pearhead.anvil.change import (
+    Json,
+    Routes,
+    hash_change,
+    merge_document,
+    merge_routes,
+    move_routes,
+    to_item,
+    to_route,
+    without_source,
+)
 from pearhead.awl.view import (
     EMPTY_BODY,
     ENTRY_SECTIONS,
@@ -37,6 +47,11 @@
 TRANSACTION_LIMIT = 65_536
 HISTORY_LIMIT = 256
 TAKEN_LIMIT = 256
+DIGEST_MARK = b"\xa7PHF"
+DIGESTED = (
+    "index", "description", "descriptionRevision", "description_number", "history", "workers", "weights", "holds",
+    "loads", "volumeIndexes", "visibleIndex",
+)
 UNSEEN_BODIES = ("bump", "hold")
 
 Outcome = dict[str, Any]
@@ -56,6 +71,7 @@
         self.description: Outcome = {}
         self.descriptionRevision = 0
         self.description_number = 0
+        self.routes: Routes = {}
         self.taken: OrderedDict[str, Outcome] = OrderedDict()
         self._digests: BodyDigests = {}
         self.history: list[Outcome] = []
@@ -72,7 +88,9 @@
     # ---- Machine ---------------------------------------------------------------------------------
 
     def apply(self, index: int, commandBytes: bytes) -> Outcome:
-        command = Command.FromString(commandBytes)
+        return self.apply_command(index, Command.FromString(commandBytes))
+
+    def apply_command(self, index: int, command: Command) -> Outcome:
         bodyName = command.WhichOneof("body")
         if bodyName is None:
             # Going on without it would make this core's state another than the others' (§4.7).
@@ -93,36 +111,43 @@
         return outcome
 
     def take_digest(self) -> bytes:
-        return to_body({
-            "index": self.index,
-            "description": self.description,
-            "descriptionRevision": self.descriptionRevision,
-            "description_number": self.description_number,
-            "taken": list(self.taken.items()),
-            "history": self.history,
-            "workers": self.workers,
-            "weights": self.weights,
-            "holds": self.holds,
-            "loads": self.loads,
+        """A head in JSON behind its length, then the routes' bytes one after another. What nodes are shown of routes
+        is made of these, so it is not kept twice."""
+        sections = {
+            name: [index, "" if name in ROUTE_SECTIONS else base64.b64encode(body).decode()]
+            for name, (index, body) in self.sections.items()
+        }
+        head = to_body({
+            **{name: getattr(self, name) for name in DIGESTED},
             "parts": {v: sorted(p.items()) for v, p in self.parts.items()},
-            "volumeIndexes": self.volumeIndexes,
             "transactions": list(self.transactions.items()),
-            "sections": {n: [i, base64.b64encode(b).decode()] for n, (i, b) in self.sections.items()},
-            "visibleIndex": self.visibleIndex,
+            "taken": list(self.taken.items()),
+            "sections": sections,
+            "routes": [(name, len(shown), len(source)) for name, (shown, source) in self.routes.items()],
         })
+        route_bytes = [piece for pieces in self.routes.values() for piece in pieces]
+        return b"".join([DIGEST_MARK, len(head).to_bytes(8, "big"), head, *route_bytes])
 
     def load_digest(self, digestBytes: bytes) -> None:
-        data = json.loads(digestBytes)
-        for name in ("index", "description", "descriptionRevision", "history", "workers", "weights",
-                     "holds", "loads", "volumeIndexes", "visibleIndex"):
-            setattr(self, name, data[name])
+        start = len(DIGEST_MARK) + 8
+        isMarked = digestBytes.startswith(DIGEST_MARK)
+        end = start + int.from_bytes(digestBytes[len(DIGEST_MARK) : start], "big")
+        # A release before this one wrote the head alone, and kept neither numbers nor routes.
+        data = json.loads(digestBytes[start:end] if isMarked else digestBytes)
+        for name in DIGESTED:
+            setattr(self, name, data.get(name, 0))
         self.parts = {v: {p: r for p, r in pairs} for v, pairs in data["parts"].items()}
         self.transactions = OrderedDict((t, o) for t, o in data["transactions"])
-        # A release before these kept neither numbers nor routes.
-        self.description_number = data.get("description_number", 0)
         self.taken = OrderedDict((n, o) for n, o in data.get("taken", []))
+        self.routes = {}
+        for name, shownSize, sourceSize in data.get("routes", []):
+            shown = digestBytes[end : end + shownSize]
+            end += shownSize + sourceSize
+            self.routes[name] = (shown, digestBytes[end - sourceSize : end])
         self.sections = {name: (0, EMPTY_BODY) for name in SECTION_NAMES}
         self.sections.update((n, (i, base64.b64decode(b))) for n, (i, b) in data["sections"].items())
+        for name, body in self._route_bodies().items():
+            self.sections[name] = (self.sections[name][0], body or EMPTY_BODY)
 
     # ---- reading ---------------------------------------------------------------------------------
 
@@ -138,6 +163,16 @@
                 delta.section.append(Section(name=name, index=sectionIndex, body=body))
         return delta
 
+    def read(self) -> Json:
+        """The state as operators read it, with every source."""
+        state = {name: getattr(self, name) for name in DIGESTED}
+        return {**state, "description": self.whole_description()}
+
+    def whole_description(self) -> Json:
+        if not self.routes:
+            return self.description
+        return {**self.description, "routes": [to_route(*pieces) for pieces in self.routes.values()]}
+
     def revisions_of(self, volume: str) -> list[tuple[int, int]]:
         """The table's pairs; revision one is the default and left out (§6.4)."""
         return sorted((p, r) for p, r in self.parts.get(volume, {}).items() if r > 1)
@@ -154,6 +189,8 @@
             return {"status": "conflict", "revision": self.descriptionRevision}
         # The leader checked it before it went into the log (§4.2).
         self.description = json.loads(command.description)
+        items = [to_item(route) for route in self.description.pop("routes", [])]
+        self.routes = {item.name: (item.shown, item.source) for item in items}
         self.descriptionRevision = index
         descriptionHash = hashlib.blake2b(command.description, digest_size=16).hexdigest()
         self.history.append({"revision": index, "by": command.by, "hash": descriptionHash})
@@ -177,7 +214,9 @@
         if command.number <= self.description_number:
             return {"status": "refused", "faults": [f"number: must be above {self.description_number}"]}
         document = json.loads(command.document)
-        self.description = merge_change(self.description, document, command.by_name)
+        move_routes(command, document)
+        self.routes = merge_routes(self.routes, command, document)
+        self.description = merge_document(self.description, document, command.by_name)
         self.description_number, self.descriptionRevision = command.number, index
         self.taken[number] = {"hash": change_hash, "revision": index}
         if len(self.taken) > TAKEN_LIMIT:
@@ -275,22 +314,35 @@
         # Sources are the operators' own text: nodes do without (§5.4).
         head = {
             name: without_source(value) for name, value in self.description.items()
-            if name not in ("entries", "routes", "source")
+            if name not in ("entries", "source")
         }
         shown = {"revision": index, "description": head}
         if self.description_number:
             shown["number"] = self.description_number
         self._show("description", index, shown)
-        for kind, section_names in (("entries", ENTRY_SECTIONS), ("routes", ROUTE_SECTIONS)):
-            buckets: list[list[Any]] = [[] for _ in section_names]
-            for item in self.description.get(kind, []):
-                buckets[bucket_of(item["name"])].append(without_source(item))
-            for name, items in zip(section_names, buckets, strict=True):
-                if items or self.sections[name][1] != EMPTY_BODY:
-                    self._show(name, index, items)
+        buckets: list[list[Any]] = [[] for _ in ENTRY_SECTIONS]
+        for entry in self.description.get("entries", []):
+            buckets[bucket_of(entry["name"])].append(entry)
+        for name, entries in zip(ENTRY_SECTIONS, buckets, strict=True):
+            if entries or self.sections[name][1] != EMPTY_BODY:
+                self._show(name, index, entries)
+        for name, body in self._route_bodies().items():
+            if body is not None or self.sections[name][1] != EMPTY_BODY:
+                self._show_body(name, index, body or b"[]")
+
+    def _route_bodies(self) -> dict[str, bytes | None]:
+        buckets: list[list[bytes]] = [[] for _ in ROUTE_SECTIONS]
+        for name, (shown, _) in self.routes.items():
+            buckets[bucket_of(name)].append(shown)
+        return {
+            name: b"[" + b",".join(pieces) + b"]" if pieces else None
+            for name, pieces in zip(ROUTE_SECTIONS, buckets, strict=True)
+        }
 
     def _show(self, name: str, index: int, value: Any) -> None:
-        body = to_body(value)
+        self._show_body(name, index, to_body(value))
+
+    def _show_body(self, name: str, index: int, body: bytes) -> None:
         if self.sections[name][1] != body:
             self.sections[name] = (index, body)
 
--- a/src/pearhead/awl/view.py
+++ b/src/pearhead/awl/view.py
@@ -6,7 +6,7 @@
 import json
 import unittest
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import cached_property
 from typing import Any
 
@@ -105,11 +105,24 @@
         entries = [
             item for name in ENTRY_SECTIONS if self.sections[name][1] != EMPTY_BODY for item in self._section(name)
         ]
-        routes = [
-            item for name in ROUTE_SECTIONS
-            if name in self.sections and self.sections[name][1] != EMPTY_BODY for item in self._section(name)
-        ]
-        return build_checked({**head, "entries": entries, "routes": routes})
+        return replace(build_checked({**head, "entries": entries}), routes=self._routes)
+
+    @cached_property
+    def _read_routes(self) -> dict[str, tuple[bytes, list[Route]]]:
+        """Of each section its body and what was read of it; the next view reads anew only what changed."""
+        return {}
+
+    @cached_property
+    def _routes(self) -> list[Route]:
+        found: list[Route] = []
+        for name in ROUTE_SECTIONS:
+            _, body = self.sections.get(name, (0, EMPTY_BODY))
+            heldBody, routes = self._read_routes.get(name, (EMPTY_BODY, []))
+            if heldBody is not body and body != EMPTY_BODY:
+                routes = build_checked({"routes": json.loads(body)}).routes
+                self._read_routes[name] = (body, routes)
+            found.extend(routes if body != EMPTY_BODY else [])
+        return found
 
     @cached_property
     def number(self) -> int:
@@ -123,7 +136,7 @@
     @cached_property
     def _routes_by_host(self) -> dict[str, dict[str, Route]]:
         found: dict[str, dict[str, Route]] = {}
-        for route in self.description.routes:
+        for route in self._routes:
             found.setdefault(host_of(route.host), {})[route.prefix] = route
         return found
 
@@ -191,6 +204,7 @@
             return None
         following = View(delta.index, changed)
         following.__dict__["_digests"] = digests
+        following.__dict__["_read_routes"] = dict(self._read_routes)
         return following
 
     def delta_since(self, haveIndex: int) -> ViewDelta | None:
--- a/src/pearhead/vise/raft.py
+++ b/src/pearhead/vise/raft.py
@@ -44,6 +44,7 @@
 CHUNK_SIZE = 256 * 1024
 BATCH_ENTRIES = 256
 BATCH_BYTES = 4 * 1024 * 1024
+SLOW_BYTES = 4 * 1024 * 1024
 FULL_RETRY_MICROS = 500 * MILLI
 
 Tell = Callable[[str, str, Message], None]
@@ -68,6 +69,7 @@
         self.heardRound = 0
         self.sentMicros = -SECOND
         self.inFlight = False
+        self.batch_micros = 0
         self.digestOffset: int | None = None
         self.digestFile: DigestFile | None = None
 
@@ -428,8 +430,9 @@
                 self.handoverDeadline = None
             for followerIdentity, follower in self.followers.items():
                 if nowMicros - follower.sentMicros >= HEARTBEAT_MICROS:
-                    follower.inFlight = False
-                    self._send_append(followerIdentity)
+                    # A large batch is long on its way; meanwhile an empty one goes, and tells that this one leads.
+                    follower.inFlight = follower.inFlight and nowMicros < follower.batch_micros
+                    self._send_append(followerIdentity, is_beat=True)
         elif nowMicros >= self.electionDeadline:
             if self.identity in self.voters() and not isStalled:
                 self._start_election(isTrial=True, isHandover=False)
@@ -551,13 +554,13 @@
         for followerIdentity in list(self.followers):
             self._send_append(followerIdentity)
 
-    def _send_append(self, followerIdentity: str) -> None:
+    def _send_append(self, followerIdentity: str, is_beat: bool = False) -> None:
         follower = self.followers[followerIdentity]
         memberAddress = next(
             (m.address for m in self.members().member if m.identity == followerIdentity), ""
         )
         isRoundDue = follower.heardRound < self.roundNumber
-        if (follower.inFlight and not isRoundDue) or not memberAddress:
+        if (follower.inFlight and not isRoundDue and not is_beat) or not memberAddress:
             return
         follower.sentMicros = self.clock.now()
         if follower.digestFile is not None or follower.nextIndex <= self.baseIndex:
@@ -566,6 +569,9 @@
             return
         previousIndex = follower.nextIndex - 1
         entries = [] if follower.inFlight else self._batch_after(previousIndex)
+        if entries:
+            batch_size = sum(len(entry.payload) for entry in entries)
+            follower.batch_micros = follower.sentMicros + batch_size * SECOND // SLOW_BYTES
         follower.inFlight = True
         self.tell(memberAddress, "appendAsk", AppendAsk(
             epoch=self.epoch, previousIndex=previousIndex, previousEpoch=self.epoch_at(previousIndex),
@@ -731,6 +737,7 @@
         self.baseIndex, self.baseEpoch = digest.index, digest.epoch
         self.baseMembers = digest.members
         self.digestIndex = self.commitIndex = self.appliedIndex = digest.index
+        self.bytes_since_digest = 0
 
     def _cut_from(self, index: int) -> None:
         self.entries = self.entries[: index - self.baseIndex - 1]
