--- a/src/pearhead/anvil/operatorapi.py
+++ b/src/pearhead/anvil/operatorapi.py
@@ -7,6 +7,7 @@
 
 from tornado.web import Application, RequestHandler
 
+from pearhead.anvil.change import to_json
 from pearhead.anvil.core import CoreProcess
 from pearhead.awl.startup import Startup, is_operator
 from pearhead.awl.wire_pb2 import Command, CommandResult, Worker
@@ -61,6 +62,34 @@
         await self.execute(command)
 
 
+class ChangeHandler(OperatorHandler):
+    """A description under the operators' own number (§5.4): whole, or by name what to put and to remove."""
+
+    async def post(self) -> None:
+        data = self.read_body()
+        if data is None:
+            return
+        command = Command()
+        byName = {name: data[name] for name in ("put", "remove", "put_limits", "source") if name in data}
+        if ("description" in data) == bool(byName):
+            return self.refuse("description, or put and remove, are needed")
+        try:
+            command.change.base_number, command.change.number = int(data["base"]), int(data["number"])
+            command.change.document = to_json(byName or data["description"])
+        except (KeyError, ValueError, TypeError) as fault:
+            return self.refuse(f"number and base are needed: {fault!r}")
+        command.change.by_name = bool(byName)
+        await self.execute(command)
+
+
+class DescriptionHandler(OperatorHandler):
+    async def get(self) -> None:
+        held = await self.core.read_description()
+        if held is None:
+            self.set_status(503)
+        self.finish(held or {"status": "unavailable"})
+
+
 class WorkersHandler(OperatorHandler):
     async def post(self) -> None:
         data = self.read_body()
@@ -145,6 +174,8 @@
         [
             ("/apply", ApplyHandler, parts),
             ("/outcome/([A-Za-z0-9_.-]{1,64})", OutcomeHandler, parts),
+            ("/change", ChangeHandler, parts),
+            ("/description", DescriptionHandler, parts),
             ("/workers", WorkersHandler, parts),
             ("/weights", WeightsHandler, parts),
             ("/fleet", FleetHandler, parts),
--- /dev/null
+++ b/tests/test_change.py
@@ -0,0 +1,385 @@
+"""Descriptions under operators' numbers (§5.4): faults, races, repeats, merges, what nodes see, the log's bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import unittest
+from typing import Any
+
+from result import Ok, Result
+from tornado.testing import AsyncHTTPTestCase
+from tornado.web import Application
+
+from pearhead.anvil.change import ChangeChecker, to_item, to_json
+from pearhead.anvil.core import CoreProcess
+from pearhead.anvil.fleet import TAKEN_LIMIT, Fleet
+from pearhead.anvil.operatorapi import build_operator_api
+from pearhead.awl.bench import Bench
+from pearhead.awl.clock import BootClock
+from pearhead.awl.crew import Crew
+from pearhead.awl.startup import Startup
+from pearhead.awl.view import ROUTE_SECTIONS, View
+from pearhead.awl.wire_pb2 import ApplyDescription, Command, CommandResult, Entry, NameWeights
+from pearhead.vise.raft import RaftMember
+from pearhead.vise.wal import Wal
+
+Json = dict[str, Any]
+KEY = "0" * 63
+
+
+def route(name: str, prefix: str, service: str = "s", **more: Any) -> Json:
+    splits = [{"service": service, "share": 1}]
+    return {"name": name, "host": "a.example", "prefix": prefix, "splits": splits, "deadline_micros": 5, **more}
+
+
+def whole(**more: Any) -> Json:
+    return {
+        "routes": [route("r1", "/a/", source="one"), route("r2", "/a/b/", source="two")],
+        "services": [{"name": "s", "role": "model", "lines": ["m"], "source": "S"},
+                     {"name": "t", "role": "application"}, {"name": "k", "role": "store"}],
+        "tenants": [{"name": "x", "keyHashes": [KEY + "1"], "source": "X"}],
+        "limits": {"body_bytes": 7, "source": "L"}, "source": "D", **more,
+    }
+
+
+class OnlyCore:
+    """Stands in for the agreement of one core: what is proposed is applied at once."""
+
+    def __init__(self, core: CoreProcess) -> None:
+        self.core = core
+        self.index = 0
+        self.leads = True
+
+    def is_leader(self) -> bool:
+        return self.leads
+
+    def leader_address(self) -> str:
+        return ""
+
+    def voters(self) -> dict[str, str]:
+        return {"one": "a:1"}
+
+    async def confirm(self) -> bool:
+        return self.leads
+
+    async def propose(self, payload: bytes) -> Result[tuple[int, Any], str]:
+        self.index += 1
+        return Ok((self.index, self.core.apply(self.index, payload)))
+
+
+def build_core() -> CoreProcess:
+    startup = Startup(address="127.0.0.1:1", httpAddress="127.0.0.1:2", area="z", seeds=["127.0.0.1:1"])
+    disk: Any = None
+    core = CoreProcess(startup, BootClock(), Bench(), disk, random.Random(1), lambda reason: None)
+    only: Any = OnlyCore(core)
+    core.raft = only
+    return core
+
+
+def change(base: int, number: int, document: object, by_name: bool = False) -> Command:
+    command = Command()
+    command.change.base_number, command.change.number, command.change.by_name = base, number, by_name
+    command.change.document = document if isinstance(document, bytes) else json.dumps(document).encode()
+    return command
+
+
+class ChangeTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.core = build_core()
+
+    async def run_change(self, base: int, number: int, document: object, by_name: bool = False) -> tuple[str, Json]:
+        result: CommandResult = await self.core.execute(change(base, number, document, by_name))
+        return result.status, json.loads(result.body)
+
+    async def test_every_fault_is_told_and_nothing_of_it_is_in_force(self) -> None:
+        two_splits = [{"service": "s", "share": 0}, {"service": "t", "share": 0}]
+        minus = [{"service": "s", "share": 2}, {"service": "t", "share": -1}]
+        cases: list[tuple[str, object]] = [
+            ("can't be read", b"{"), ("must be an object", b"[]"), ("can't be read", b"\xff"),
+            ("routes: must be a list", whole(routes={})), ("each must be an object", whole(routes=[1])),
+            ("each must be an object", whole(routes=[{"host": "a"}])),
+            ("no service 'z'", whole(routes=[route("r", "/", "z")])),
+            ("is a store", whole(routes=[route("r", "/", "k")])),
+            ("is matched by 'r1' too", whole(routes=[route("r1", "/"), route("r2", "/", host="A.EXAMPLE:80")])),
+            ("add up to 0", whole(routes=[route("r", "/", splits=two_splits)])),
+            ("add up to 0", whole(routes=[route("r", "/", splits=[])])),
+            ("below zero", whole(routes=[route("r", "/", splits=minus)])),
+            ("deadline_micros: must be above zero", whole(routes=[{**route("r", "/"), "deadline_micros": 0}])),
+            ("deadline_micros: must be int", whole(routes=[{**route("r", "/"), "deadline_micros": "5"}])),
+            ("deadline_micros: missing", whole(routes=[{"name": "r", "host": "a", "prefix": "/", "splits": []}])),
+            ("begin and end", whole(routes=[route("r", "/a")])), ("begin and end", whole(routes=[route("r", "a/")])),
+            ("'r' is named twice", whole(routes=[route("r", "/"), route("r", "/a/")])),
+            ("must not be empty", whole(routes=[route("", "/")])),
+            ("'s' is named twice", whole(services=[{"name": "s", "role": "model"}] * 2)),
+            ("role: must be", whole(services=[{"name": "s", "role": "other"}])),
+            ("'x' is named twice", whole(tenants=[{"name": "x", "keyHashes": []}] * 2)),
+            ("a key of x too", whole(tenants=[{"name": n, "keyHashes": [KEY + "1"]} for n in "xy"])),
+            ("SHA-256", whole(tenants=[{"name": "x", "keyHashes": ["1"]}])),
+            ("body_bytes: must be", whole(limits={"body_bytes": "7"})),
+            ("unknown field", whole(more=1)),
+        ]
+        await self.run_change(0, 1, whole())
+        before = self.core.fleet.take_digest()
+        for wanted, document in cases:
+            status, body = await self.run_change(1, 2, document)
+            self.assertEqual(status, "refused", (wanted, body))
+            self.assertIn(wanted, " | ".join(body["faults"]))
+        for wanted, put in (
+            ("no service 's'", {"remove": {"services": ["s"]}}),
+            ("matched by", {"put": {"routes": [route("n", "/a/")]}}),
+            ("named twice", {"put": {"services": [{"name": "n", "role": "model"}] * 2}}),
+            ("named twice", {"put": {"routes": [route("n", "/n/"), route("n", "/o/")]}}),
+            ("a key of x too", {"put": {"tenants": [{"name": "y", "keyHashes": [KEY + "1"]}]}}),
+            ("put: must be", {"put": []}), ("must be list", {"remove": {"routes": [1]}}),
+        ):
+            status, body = await self.run_change(1, 2, put, by_name=True)
+            self.assertEqual(status, "refused", (wanted, body))
+            self.assertIn(wanted, " | ".join(body["faults"]))
+        for number in (0, 1):
+            self.assertEqual((await self.run_change(1, number, whole(source="other")))[0], "refused")
+        self.assertEqual(self.core.fleet.take_digest(), before)
+
+    async def test_what_the_pages_call_valid_is_taken(self) -> None:
+        twice = [{"service": "s", "share": 90}, {"service": "s", "share": 10}, {"service": "t", "share": 0}]
+        document = whole(
+            routes=[route("r/1 *", "/", splits=twice), route("r2", "/", host="b.example")],
+            tenants=[{"name": "*", "keyHashes": []}, {"name": "y/z", "keyHashes": [KEY + "2"] * 2}],
+        )
+        self.assertEqual((await self.run_change(0, 5, document))[0], "done")
+        self.assertEqual((await self.run_change(5, 900, {"routes": [], "services": []}))[0], "done")
+
+    async def test_of_two_on_one_base_one_wins_also_when_both_were_checked(self) -> None:
+        await self.run_change(0, 3, whole())
+        pair = [change(3, number, whole(source=str(number))) for number in (5, 6)]
+        results = await asyncio.gather(*(self.core.execute(command) for command in pair))
+        self.assertEqual(sorted(result.status for result in results), ["conflict", "done"])
+        number = self.core.fleet.description_number
+        lost = next(json.loads(result.body) for result in results if result.status == "conflict")
+        self.assertEqual(lost, {"status": "conflict", "number": number})
+        self.assertEqual((await self.run_change(3, 9, b"{"))[1]["number"], number)
+
+    async def test_a_description_applied_in_between_makes_it_a_conflict(self) -> None:
+        await self.run_change(0, 3, whole())
+        command = change(3, 4, {"remove": {"routes": ["r1"]}}, by_name=True)
+        self.assertIsNone(await self.core._judge_change(command))
+        base = self.core.fleet.descriptionRevision
+        await self.core.execute(Command(apply=ApplyDescription(baseRevision=base, description=b"{}")))
+        self.assertEqual((await self.core.raft.propose(command.SerializeToString())).unwrap()[1]["status"], "conflict")
+
+    async def test_an_exact_repeat_is_done_again_also_after_a_restart(self) -> None:
+        first = await self.run_change(0, 3, whole())
+        second = await self.run_change(3, 4, {"remove": {"routes": ["r1"]}}, by_name=True)
+        self.assertEqual((first[0], second[0]), ("done", "done"))
+        restarted = build_core()
+        restarted.fleet.load_digest(self.core.fleet.take_digest())
+        self.core = restarted
+        self.assertEqual(await self.run_change(0, 3, whole()), first)
+        self.assertEqual(await self.run_change(3, 4, {"remove": {"routes": ["r1"]}}, by_name=True), second)
+        self.assertEqual((await self.run_change(0, 3, whole(source="E")))[0], "conflict")
+        self.assertEqual((await self.run_change(4, 4, whole()))[0], "refused")
+        self.assertEqual(len(self.core.fleet.routes), 1, "a repeat changed something")
+        for number in range(5, 5 + TAKEN_LIMIT):
+            await self.run_change(number - 1, number, {}, by_name=True)
+        self.assertEqual((await self.run_change(0, 3, whole()))[0], "conflict", "older than what is remembered")
+
+    async def test_by_name_replaces_in_place_appends_and_removes(self) -> None:
+        await self.run_change(0, 1, whole())
+        put = {
+            "routes": [route("r3", "/c/"), route("r1", "/z/", source="anew")],
+            "services": [{"name": "u", "role": "model", "lines": ["n"]}, {"name": "s", "role": "application"}],
+        }
+        document = {"put": put, "remove": {"routes": ["r2", "none"], "tenants": ["x"]}, "put_limits": {"body_bytes": 9}}
+        self.assertEqual((await self.run_change(1, 8, document, by_name=True))[0], "done")
+        held = await self.core.read_description()
+        assert held is not None
+        description = held["description"]
+        self.assertEqual(held["number"], 8)
+        self.assertEqual([(r["name"], r["prefix"]) for r in description["routes"]], [("r1", "/z/"), ("r3", "/c/")])
+        self.assertEqual(description["routes"][0]["source"], "anew")
+        self.assertEqual([s["name"] for s in description["services"]], ["s", "t", "k", "u"])
+        self.assertEqual((description["tenants"], description["limits"]), ([], {"body_bytes": 9}))
+        self.assertEqual(description["lines"], [{"name": "n", "weights": "1"}])
+
+    async def test_lines_keep_their_weights_and_versions_never_fall(self) -> None:
+        await self.run_change(0, 1, whole())
+
+        async def name(weights: str, rising: bool = True) -> str:
+            naming = NameWeights(line="m", weights=weights, rising=rising)
+            return str((await self.core.execute(Command(weights=naming))).status)
+
+        self.assertEqual(self.core.fleet.weights["m"]["weights"], "1")
+        self.assertEqual([await name(w) for w in ("3", "2", "3", "10", "9")], ["done"] * 5)
+        self.assertEqual(self.core.fleet.weights["m"]["weights"], "10")
+        await self.run_change(1, 2, {"routes": [], "services": []})
+        await self.run_change(2, 3, whole())
+        self.assertEqual(self.core.fleet.weights["m"]["weights"], "10")
+        await name("2", rising=False)
+        self.assertEqual(self.core.fleet.weights["m"]["weights"], "2", "an operator who takes weights back")
+        unknown = await self.core.execute(Command(weights=NameWeights(line="z", weights="1")))
+        self.assertEqual(unknown.status, "refused")
+
+    async def test_a_core_that_does_not_lead_and_knows_no_leader_tells_so(self) -> None:
+        raft: Any = self.core.raft
+        raft.leads = False
+        self.assertEqual((await self.run_change(0, 1, whole()))[0], "unavailable")
+        self.assertIsNone(await self.core.read_description())
+
+    async def test_nodes_see_routes_in_buckets_and_no_sources(self) -> None:
+        await self.run_change(0, 1, whole())
+        fleet = self.core.fleet
+        delta = fleet.delta_since(0, "")
+        assert delta is not None
+        shown = b"".join(section.body for section in delta.section)
+        self.assertNotIn(b"source", shown)
+        view = View().with_delta(delta)
+        assert view is not None
+        self.assertEqual((view.number, view.services["s"].lines, view.tenantByHash[KEY + "1"].name), (1, ["m"], "x"))
+        for host, path, wanted in (
+            ("a.example", "/a/b/c", "r2"), ("A.Example:8080", "/a/b", "r1"), ("a.example", "/a/", "r1"),
+            ("a.example", "/a", ""), ("a.example", "/", ""), ("b.example", "/a/", ""), ("a.example", "", ""),
+            ("a.example", "/a/b/", "r2"), ("a.example", "/A/b/", ""),
+        ):
+            found = view.route_of(host, path)
+            self.assertEqual(found.name if found else "", wanted, (host, path))
+        await self.run_change(1, 2, {"put": {"routes": [route("r1", "/z/")]}}, by_name=True)
+        small = fleet.delta_since(view.index, view.hash)
+        assert small is not None
+        self.assertEqual(sum(section.name in ROUTE_SECTIONS for section in small.section), 1)
+        changed = view.with_delta(small)
+        assert changed is not None
+        isGone = [changed.route_of("a.example", path) is None for path in ("/a/", "/z/", "/a/b/")]
+        self.assertEqual(isGone, [True, False, False])
+        self.assertIs(changed.route_of("a.example", "/a/b/"), view.route_of("a.example", "/a/b/"), "read anew")
+        copy = Fleet()
+        copy.load_digest(fleet.take_digest())
+        self.assertEqual((copy.sections, copy.take_digest()), (fleet.sections, fleet.take_digest()))
+
+    async def test_an_older_releases_digest_and_description_are_read(self) -> None:
+        data = {"routes": [route("r1", "/a/", source="one")], "services": whole()["services"]}
+        await self.core.execute(Command(apply=ApplyDescription(description=json.dumps(data).encode())))
+        fleet = self.core.fleet
+        self.assertEqual(fleet.whole_description(), {"services": data["services"], "routes": data["routes"]})
+        old = {name: value for name, value in fleet.read().items() if name != "description_number"}
+        old.update(parts={}, transactions=[], sections={}, description={})
+        copy = Fleet()
+        copy.load_digest(to_json(old))
+        self.assertEqual((copy.descriptionRevision, copy.description_number, copy.routes), (1, 0, {}))
+
+    async def test_a_large_description_is_checked_in_pieces(self) -> None:
+        command = change(0, 1, {"services": whole()["services"]})
+        for number in range(1_000):
+            command.change.route.append(to_item(route(f"r{number}", f"/{number}/")))
+        breaths = 0
+
+        async def breathe() -> None:
+            nonlocal breaths
+            breaths += 1
+
+        checked = await ChangeChecker(breathe).check(command.change, {}, {})
+        self.assertEqual((checked, breaths), (Ok(None), 8))
+        over = change(0, 1, b" " * (16 << 20))
+        self.assertIn("over", (await ChangeChecker(breathe).check(over.change, {}, {})).unwrap_err()[0])
+
+
+class OperatorCallsTest(AsyncHTTPTestCase):
+    def get_app(self) -> Application:
+        self.core = build_core()
+        return build_operator_api(self.core, self.core.startup)
+
+    def call(self, body: Json) -> tuple[int, Json]:
+        answer = self.fetch("/change", method="POST", body=json.dumps(body))
+        return answer.code, json.loads(answer.body)
+
+    def test_a_change_is_made_and_read_back(self) -> None:
+        self.assertEqual(self.call({"number": 4, "base": 0, "description": whole()})[0], 200)
+        self.assertEqual(self.call({"number": 5, "base": 4, "put": {"routes": [route("n", "/n/")]}})[0], 200)
+        self.assertEqual(self.call({"number": 6, "base": 4, "remove": {"routes": ["n"]}})[0], 409)
+        self.assertEqual(self.call({"number": 6, "base": 5, "remove": {"services": ["s"]}})[0], 422)
+        bad: list[Json] = [
+            {"number": 6, "base": 5}, {"number": 6, "description": {}}, {"number": -1, "base": 5, "put": {}},
+            {"number": 6, "base": 5, "put": {}, "description": {}},
+        ]
+        self.assertEqual([self.call(body)[0] for body in bad], [400] * 4)
+        held = json.loads(self.fetch("/description").body)
+        self.assertEqual((held["number"], [r["name"] for r in held["description"]["routes"]]), (5, ["r1", "r2", "n"]))
+        raft: Any = self.core.raft
+        raft.leads = False
+        self.assertEqual(self.fetch("/description").code, 503)
+
+
+class CountedDisk:
+    """A disk that syncs at once and knows the most that it ever held, with what a replacement is written beside."""
+
+    def __init__(self) -> None:
+        self.files: dict[str, bytes] = {}
+        self.most = 0
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, fileName: str) -> bytes:
+        return self.files[fileName]
+
+    def _note(self, beside: int) -> None:
+        self.most = max(self.most, beside + sum(map(len, self.files.values())))
+
+    async def append(self, fileName: str, contentBytes: bytes) -> None:
+        self.files[fileName] = self.files.get(fileName, b"") + contentBytes
+        self._note(0)
+
+    async def replace(self, fileName: str, contentBytes: bytes) -> None:
+        self._note(len(contentBytes))
+        self.files[fileName] = contentBytes
+
+    async def remove(self, fileName: str) -> None:
+        del self.files[fileName]
+
+    async def truncate(self, fileName: str, keptSize: int) -> None:
+        self.files[fileName] = self.files[fileName][:keptSize]
+
+
+class LogBytesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_storm_of_large_changes_leaves_a_small_folder(self) -> None:
+        disk = CountedDisk()
+        fleet = Fleet()
+        crew = Crew("test")
+        member = RaftMember(
+            "one", Wal(disk), fleet, lambda address, name, body: None, BootClock(), random.Random(1), crew,
+            self.fail, digest_bytes=200_000,
+        )
+        await member.recover()
+        await member.found("a:1")
+        crew.start(member._flush_forever())
+        member._become_leader()
+        filler = "f" * 100_000
+        for number in range(1, 61):
+            command = change(number - 1, number, whole(source=filler + str(number)))
+            command.change.checked_revision = fleet.descriptionRevision
+            proposal = member.propose(command.SerializeToString())
+            while not proposal.done():
+                await asyncio.sleep(0)
+            self.assertEqual(proposal.result().unwrap()[1]["status"], "done")
+        crew.stop()
+        # Two digests and one beside them, what leads to the next one, and what came while it was written.
+        self.assertLess(disk.most, 900_000)
+        self.assertLess(sum(len(entry.payload) for entry in member.entries), 700_000)
+        recovered = RaftMember(
+            "one", Wal(disk), Fleet(), lambda address, name, body: None, BootClock(), random.Random(1), Crew("test"),
+            self.fail,
+        )
+        await recovered.recover()
+        self.assertEqual(recovered.last_index(), member.last_index())
+
+    async def test_one_batch_fits_a_frame_and_one_entry_always_goes(self) -> None:
+        member = RaftMember(
+            "one", Wal(CountedDisk()), Fleet(), lambda address, name, body: None, BootClock(), random.Random(1),
+            Crew("test"), self.fail,
+        )
+        sizes = (3, 2, 5, 1, 1)
+        member.entries = [
+            Entry(index=index, epoch=1, payload=b"x" * (size << 20)) for index, size in enumerate(sizes, 1)
+        ]
+        batches = [[entry.index for entry in member._batch_after(index)] for index in range(6)]
+        self.assertEqual(batches, [[1], [2], [3], [4, 5], [5], []])
