--- a/src/pearhead/awl/view.py
+++ b/src/pearhead/awl/view.py
@@ -136,7 +136,7 @@
     @cached_property
     def _routes_by_host(self) -> dict[str, dict[str, Route]]:
         found: dict[str, dict[str, Route]] = {}
-        for route in self._routes:
+        for route in self.description.routes:
             found.setdefault(host_of(route.host), {})[route.prefix] = route
         return found
 
