Founders told once, any number of voters, an emptied disk back at its address

Cause: the number wanted was the number of founders, which later starts are not told and which names three of five machines; a machine back empty at its address waited for lostAfterMicros; elections took up to 1.2 s a round, and a trial that came 100 ms early cost a whole one.

Conclusion: how many vote is kept in the log, and another identity at a voter's address ends that vote at once (design 4.9).

--- a/src/pearhead/anvil/core.py
+++ b/src/pearhead/anvil/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import random
 from collections.abc import Callable
@@ -41,11 +42,20 @@
 from pearhead.vise.wal import Wal
 
 LOGGER = picologging.getLogger("pearhead")
-ASK_MICROS = 1_500 * MILLI
 COMMAND_MICROS = 5 * SECOND
-CARE_MICROS = 300 * MILLI
-JOIN_MICROS = 700 * MILLI
+CARE_MICROS = 100 * MILLI
+JOIN_MICROS = 300 * MILLI
+JOIN_ASK_MICROS = 600 * MILLI
+ALONE_MICROS = 2 * SECOND
+ANSWER_MICROS = 400 * MILLI
+GATHER_MICROS = (1_500 * MILLI, 8 * SECOND)
+FORGET_FACTOR = 3
+LEAST_VOTERS = 3
+MOST_VOTERS = 9
+NEVER_LEVEL = 2**62
 IDENTITY_FILE = "identity"
+FOUNDERS_FILE = "founders"
+FULL_RETRY_MICROS = 500 * MILLI
 EVENT_TYPES = {
     "apply": "description.applied", "workers": "workers.changed", "weights": "weights.named",
     "confirm": "load.confirmed",
@@ -69,6 +79,8 @@
         self.leaderSince = 0
         self.heardVoters: dict[str, int] = {}
         self.identity = ""
+        self.founders = startup.founders
+        self.level_index = NEVER_LEVEL
         self.tellEvent: Callable[[str, int, dict[str, Any]], None] = lambda typeName, index, data: None
         self.raft: RaftMember
         self.courier: Courier
@@ -77,6 +89,7 @@
 
     async def start(self) -> None:
         self.identity = await self._learn_identity()
+        self.founders = self._learn_founders()
         self.courier = Courier(self.identity, self.startup.address, self.net, self.clock)
         selfRecord = Record(
             identity=self.identity, address=self.startup.address, role="anvil", area=self.startup.area,
@@ -133,9 +146,28 @@
         if any(n.startswith(("log-", "digest-")) for n in fileNames):
             self.fail("the data folder holds a log and no identity")
         identity = self.chance.randbytes(12).hex()
-        await self.disk.replace(IDENTITY_FILE, identity.encode())
+        # Founders are told once: a founder killed before it founded must know them in its next life (§4.9).
+        await self._keep_file(FOUNDERS_FILE, json.dumps(self.startup.founders))
+        await self._keep_file(IDENTITY_FILE, identity)
         return identity
 
+    async def _keep_file(self, file_name: str, text: str) -> None:
+        while True:
+            try:
+                await self.disk.replace(file_name, text.encode())
+                return
+            except OSError as disk_error:
+                if disk_error.errno != errno.ENOSPC:
+                    raise
+                LOGGER.error("anvil: The disk is full.")
+                await rest(self.clock, FULL_RETRY_MICROS)
+
+    def _learn_founders(self) -> list[str]:
+        if self.startup.founders or FOUNDERS_FILE not in self.disk.names():
+            return self.startup.founders
+        kept: list[str] = json.loads(self.disk.read(FOUNDERS_FILE))
+        return kept
+
     # ---- Machine: the fleet, and what this core notes of it -------------------------------------
 
     def apply(self, index: int, commandBytes: bytes) -> dict[str, Any]:
@@ -198,7 +230,18 @@
 
     def is_founded(self) -> bool:
         """Nothing is acknowledged before as many vote as founded: one lost disk must not matter."""
-        return len(self.raft.voters()) >= min(len(self.startup.founders) or 1, 3)
+        if self.fleet.visibleIndex:
+            return True
+        return len(self.raft.voters()) >= min(self.wanted_count(), LEAST_VOTERS) and not self._is_gathering()
+
+    def _is_gathering(self) -> bool:
+        """Other empty cores may be on their way in: what is acknowledged must be theirs as well (§4.9)."""
+        if len(self.founders) == 1:
+            return False
+        led_micros = self.clock.now() - self.leaderSince
+        voters = set(self.raft.voters())
+        is_awaited = any(r.identity not in voters for r in self.directory.members("anvil"))
+        return led_micros < GATHER_MICROS[0] or (is_awaited and led_micros < GATHER_MICROS[1])
 
     async def execute(self, command: Command, relayed: bool = False) -> CommandResult:
         """Runs a command here or at the leader. `unavailable` did not run; `unknown` may have."""
@@ -284,77 +327,137 @@
         return FoundResult(empty=self.raft.is_empty())
 
     async def _come_in(self) -> None:
-        """An empty member founds if it is first and all founders are empty; else it asks to join."""
-        while self.identity not in self.raft.voters():
-            if self.raft.is_empty() and await self._may_found():
-                LOGGER.info("anvil: Founds the core.")
-                await self.raft.found(self.startup.address)
-                return
-            for record in self.directory.members("anvil"):
-                await self.courier.ask(
-                    record.address, "joinAsk", JoinAsk(address=self.startup.address), ASK_MICROS
-                )
+        """An empty member founds if it is first and all founders are empty; else it asks to join (§4.9)."""
+        while True:
+            if self.identity not in self.raft.voters() or self._is_left_alone():
+                if self.raft.is_empty() and await self._may_found():
+                    LOGGER.info("anvil: Founds the core.")
+                    await self._found()
+                else:
+                    await self._ask_to_join()
             await rest(self.clock, JOIN_MICROS)
 
+    def _is_left_alone(self) -> bool:
+        """A voter by its own log, which may have been let go since: nobody leads it any more."""
+        return not self.raft.is_leader() and self.clock.now() - self.raft.heardLeader > ALONE_MICROS
+
+    async def _found(self) -> None:
+        try:
+            await self.raft.found(self.startup.address, len(self.founders))
+        except OSError as disk_error:
+            if disk_error.errno != errno.ENOSPC:
+                self.fail(f"the disk failed: {disk_error}")
+            LOGGER.error("anvil: The disk is full, so nothing is founded yet.")
+
+    async def _ask_to_join(self) -> None:
+        """All that may know the leader are asked at once, so that one in the dark holds nothing up."""
+        known = [r.address for r in self.directory.members("anvil")]
+        known += [m.address for m in self.raft.members().member if m.voter]
+        addresses = {*known, *self.startup.seeds} - {self.startup.address}
+        join_ask = JoinAsk(address=self.startup.address, fresh=not self.raft.ever_voted())
+        given_results = await asyncio.gather(*(
+            self.courier.ask(a, "joinAsk", join_ask, JOIN_ASK_MICROS) for a in sorted(addresses)
+        ))
+        leaders = {r.ok_value.leaderAddress for r in given_results if not isinstance(r, Err)}
+        for leader in sorted(leaders - addresses - {"", self.startup.address}):
+            await self.courier.ask(leader, "joinAsk", join_ask, JOIN_ASK_MICROS)
+
     async def _may_found(self) -> bool:
-        founders = self.startup.founders
+        founders = self.founders
         if not founders or founders[0] != self.startup.address:
             return False
         givenResults = await asyncio.gather(*(
-            self.courier.ask(a, "foundAsk", FoundAsk(), ASK_MICROS) for a in founders[1:]
+            self.courier.ask(a, "foundAsk", FoundAsk(), JOIN_ASK_MICROS) for a in founders[1:]
         ))
         return all(not isinstance(a, Err) and a.ok_value.empty for a in givenResults)
 
     async def _make_join_result(self, identity: str, address: str, ask: JoinAsk) -> JoinResult:
-        if not self.raft.is_leader():
-            return JoinResult(leaderAddress=self.raft.leader_address())
+        end_micros = self.clock.now() + JOIN_ASK_MICROS
+        while self.raft.is_leader() and self.clock.now() < end_micros:
+            members = self.raft.members()
+            if any(m.identity == identity for m in members.member):
+                return JoinResult(taken=True)
+            # Who else was at this address is gone for good, and its disk with it (§4.9).
+            changed = Members(
+                member=[m for m in members.member if m.address != ask.address], wanted=self.wanted_count()
+            )
+            changed.member.append(Member(identity=identity, address=ask.address, voter=False, fresh=ask.fresh))
+            outcome = await self.raft.change_members(changed)
+            if not isinstance(outcome, Err):
+                LOGGER.info("anvil: Takes in core %s as a learner.", identity[:8])
+                return JoinResult(taken=True)
+            await rest(self.clock, CARE_MICROS)
+        return JoinResult(leaderAddress=self.raft.leader_address())
+
+    def wanted_count(self) -> int:
+        """How many are meant to vote: as many as ever did at a time, kept with the members (§4.9)."""
         members = self.raft.members()
-        if any(m.identity == identity for m in members.member):
-            return JoinResult(taken=True)
-        changed = Members(member=[m for m in members.member if m.voter or m.address != ask.address])
-        changed.member.append(Member(identity=identity, address=ask.address, voter=False))
-        LOGGER.info("anvil: Takes in core %s as a learner.", identity[:8])
-        outcome = await self.raft.change_members(changed)
-        return JoinResult(taken=not isinstance(outcome, Err))
+        return members.wanted or max(sum(m.voter for m in members.member), len(self.founders) or 3)
 
     async def _care_for_members(self) -> None:
         while True:
             await rest(self.clock, CARE_MICROS)
             if self.raft.settled():
-                await self._care_once()
+                level_index = self.raft.commitIndex
+                while self.raft.settled() and await self._care_once():
+                    pass
+                self.level_index = level_index
 
-    async def _care_once(self) -> None:
+    async def _care_once(self) -> bool:
         """One change at a time: a learner that is level gains its vote, then a lost voter goes."""
         members = self.raft.members()
         nowMicros = self.clock.now()
-        wantedCount = len(self.startup.founders) or 3
+        wanted = self.wanted_count()
         voters = [m for m in members.member if m.voter]
-        lostVoters = [
-            m for m in voters
-            if m.identity != self.identity
-            and nowMicros - self.raft.followers[m.identity].heardMicros > self.startup.lostAfterMicros
+        silences = {
+            m.identity: nowMicros - self.raft.followers[m.identity].heardMicros
+            for m in members.member if m.identity != self.identity
+        }
+        lostVoters = [m for m in voters if silences.get(m.identity, 0) > self.startup.lostAfterMicros]
+        gone = lostVoters[:1] if len(voters) > wanted else [
+            m for m in members.member
+            if silences.get(m.identity, 0) > FORGET_FACTOR * self.startup.lostAfterMicros
+            and (not m.voter or len(voters) > LEAST_VOTERS)
         ]
-        if len(voters) > wantedCount and lostVoters:
-            goneMember = lostVoters[0]
-            LOGGER.info("anvil: Lets go of core %s.", goneMember.identity[:8])
-            kept = Members(member=[m for m in members.member if m.identity != goneMember.identity])
-            await self.raft.change_members(kept)
-            return
+        if gone:
+            LOGGER.info("anvil: Lets go of core %s.", gone[0].identity[:8])
+            return await self._change([m for m in members.member if m != gone[0]], wanted)
         for member in members.member:
-            if member.voter or (len(voters) >= wantedCount and not lostVoters):
+            if member.voter or not self._is_level(member.identity):
                 continue
-            follower = self.raft.followers.get(member.identity)
-            isLevel = follower is not None and follower.matchIndex >= self.raft.commitIndex
-            if not isLevel or follower is None or nowMicros - follower.heardMicros > SECOND:
+            # One more than wanted comes in only beside voters that all answer: else it takes a lost one's place.
+            grows = member.fresh and len(voters) < MOST_VOTERS and all(self._knows_members(v.identity) for v in voters)
+            if len(voters) >= wanted and not lostVoters and not grows:
                 continue
             LOGGER.info("anvil: Core %s gains its vote.", member.identity[:8])
-            changed = Members()
-            changed.CopyFrom(members)
-            for changedMember in changed.member:
-                if changedMember.identity == member.identity:
-                    changedMember.voter = True
-            await self.raft.change_members(changed)
-            return
+            promoted = Member(identity=member.identity, address=member.address, voter=True)
+            if not lostVoters:
+                wanted = max(wanted, len(voters) + 1)
+            return await self._change([promoted if m == member else m for m in members.member], wanted)
+        return False
+
+    async def _change(self, changed: list[Member], wanted: int) -> bool:
+        outcome = await self.raft.change_members(Members(member=changed, wanted=wanted))
+        return not isinstance(outcome, Err)
+
+    def _is_level(self, identity: str) -> bool:
+        """Has all that was committed when members were last looked after, and answers."""
+        return self._answers(identity) and self.raft.followers[identity].matchIndex >= self.level_index
+
+    def _knows_members(self, identity: str) -> bool:
+        """Answered since the last change of members, which it holds: so it was alive after that."""
+        if identity == self.identity:
+            return True
+        members_index = self.raft.members_index()
+        return self._answers(identity) and self.raft.followers[identity].matchIndex >= members_index
+
+    def _answers(self, identity: str) -> bool:
+        if identity == self.identity:
+            return True
+        follower = self.raft.followers.get(identity)
+        return follower is not None and follower.has_answered and (
+            self.clock.now() - follower.heardMicros < ANSWER_MICROS
+        )
 
     def _take_members(self, index: int, members: Members) -> None:
         voters = [m.address for m in members.member if m.voter]
@@ -362,6 +465,7 @@
 
     def _take_leadership(self, leads: bool) -> None:
         self.leaderSince = self.clock.now()
+        self.level_index = NEVER_LEVEL
 
     # ---- what operators are told -------------------------------------------------------------------
 
--- a/src/pearhead/anvil/rescue.py
+++ b/src/pearhead/anvil/rescue.py
@@ -31,9 +31,12 @@
         lastIndex = recovered.entries[-1].index if recovered.entries else digestIndex
         if not lastIndex:
             return Err("this core's log is empty: there is nothing to rescue")
+        held = [recovered.digest.members] if recovered.digest else []
+        held += [Members.FromString(e.payload) for e in recovered.entries if e.kind == KIND_MEMBERS]
+        wanted = held[-1].wanted if held else 0
         # Two epochs up, so that nothing of the old membership can match it.
         epoch = recovered.mark.epoch + 2
-        alone = Members(member=[Member(identity=identity, address=address, voter=True)])
+        alone = Members(member=[Member(identity=identity, address=address, voter=True)], wanted=wanted)
         entry = Entry(index=lastIndex + 1, epoch=epoch, kind=KIND_MEMBERS, payload=alone.SerializeToString())
         await wal.append([LogRecord(mark=Mark(epoch=epoch, votedFor=identity)), LogRecord(entry=entry)])
         return Ok(entry.index)
--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -334,6 +335,28 @@
     await settle(fleet)
 
 
+@scenario
+async def disk_back_empty(fleet: SimFleet) -> None:
+    """Founders were told once; a core's disk goes, and its machine is back empty at its old address (§4.9)."""
+    for name in fleet.cores:
+        fleet.startups[name] = dataclasses.replace(fleet.startups[name], founders=[])
+    for number in range(4):
+        await fleet.apply(fleet.marked_description(str(number)))
+        name = fleet.leader() if number % 2 else f"core-{number // 2 + 1}"
+        fleet.kill(name, losesPower=True)
+        fleet.world.machine(name).disk.empty()
+        await pause(fleet.world, fleet.world.chance.randrange(300 * MILLI, 4 * SECOND))
+        fleet.start(name)
+        await fleet.until(
+            lambda: all(
+                hasattr(c, "raft") and c.raft.voters().keys() == {o.identity for o in fleet.cores.values()}
+                for c in fleet.cores.values()
+            ),
+            f"{name} votes again", 2 * SECOND,
+        )
+    await settle(fleet)
+
+
 @scenario
 async def operators_race(fleet: SimFleet) -> None:
     tasks = []
--- a/src/pearhead/vise/raft.py
+++ b/src/pearhead/vise/raft.py
@@ -38,8 +38,13 @@
 KIND_NOOP, KIND_COMMAND, KIND_MEMBERS = 0, 1, 2
 TICK_MICROS = 25 * MILLI
 HEARTBEAT_MICROS = 100 * MILLI
-ELECTION_MICROS = 600 * MILLI
-STALL_MICROS = 1_500 * MILLI
+ELECTION_MICROS = 500 * MILLI
+ELECTION_SPREAD_MICROS = 400 * MILLI
+# A heartbeat came to one follower later than to another: that must not cost a round of votes.
+CALM_MICROS = ELECTION_MICROS - HEARTBEAT_MICROS
+RETRY_MICROS = 200 * MILLI
+UNHEARD_MICROS = 800 * MILLI
+STALL_MICROS = SECOND
 HANDOVER_MICROS = SECOND
 CHUNK_SIZE = 256 * 1024
 BATCH_ENTRIES = 256
@@ -64,6 +69,7 @@
         self.nextIndex = nextIndex
         self.matchIndex = 0
         self.heardMicros = heardMicros
+        self.has_answered = False
         self.heardRound = 0
         self.sentMicros = -SECOND
         self.inFlight = False
@@ -130,14 +136,17 @@
         self.entries = recovered.entries
         self.durableIndex = self.last_index()
 
-    async def found(self, ownAddress: str) -> None:
+    async def found(self, ownAddress: str, wanted: int = 1) -> None:
         """The first founder begins alone; the others join as any new member does (§4.4)."""
-        founding = Members(member=[Member(identity=self.identity, address=ownAddress, voter=True)])
+        founding = Members(
+            member=[Member(identity=self.identity, address=ownAddress, voter=True)], wanted=wanted
+        )
         entry = Entry(index=1, epoch=1, kind=KIND_MEMBERS, payload=founding.SerializeToString())
         self.epoch = 1
         await self.wal.append([LogRecord(mark=Mark(epoch=1)), LogRecord(entry=entry)])
         self.entries.append(entry)
         self.durableIndex = 1
+        self.electionDeadline = self.clock.now()
 
     def start(self) -> None:
         self._put_off_election()
@@ -166,6 +175,9 @@
         """The latest members in the log count, committed or not."""
         return self._members_up_to(self.last_index())[1]
 
+    def members_index(self) -> int:
+        return self._members_up_to(self.last_index())[0]
+
     def _members_up_to(self, limitIndex: int) -> tuple[int, Members]:
         for entry in reversed(self.entries):
             if entry.kind == KIND_MEMBERS and entry.index <= limitIndex:
@@ -175,6 +187,16 @@
     def voters(self) -> dict[str, str]:
         return {m.identity: m.address for m in self.members().member if m.voter}
 
+    def ever_voted(self) -> bool:
+        """Whether this member has a vote by any membership that its log still holds (§4.9)."""
+        return any(
+            m.identity == self.identity and m.voter
+            for members in (self.baseMembers, *(
+                Members.FromString(e.payload) for e in self.entries if e.kind == KIND_MEMBERS
+            ))
+            for m in members.member
+        )
+
     def is_leader(self) -> bool:
         return self.role == "leader"
 
@@ -243,7 +265,7 @@
         knownVoters = self.voters()
         if knownVoters and identity not in knownVoters:
             return  # An old disk that reappears, or one never admitted, gets no vote (§4.4).
-        isCalm = self.clock.now() - self.heardLeader < ELECTION_MICROS
+        isCalm = self.clock.now() - self.heardLeader < CALM_MICROS
         if (isCalm or self.is_leader()) and not ask.handover:
             self.tell(address, "voteResult", VoteResult(epoch=self.epoch, granted=False, trial=ask.trial))
             return
@@ -338,6 +360,7 @@
         if not self.is_leader() or result.epoch != self.epoch or follower is None:
             return
         follower.heardMicros = self.clock.now()
+        follower.has_answered = True
         follower.heardRound = max(follower.heardRound, result.round)
         follower.inFlight = False
         if result.success:
@@ -379,6 +402,7 @@
         if not self.is_leader() or result.epoch != self.epoch or follower is None:
             return
         follower.heardMicros = self.clock.now()
+        follower.has_answered = True
         follower.heardRound = max(follower.heardRound, result.round)
         follower.inFlight = False
         if follower.digestFile is not None and result.index == follower.digestFile.index:
@@ -415,7 +439,7 @@
                 return
             heardCount = sum(
                 1 for i in self.voters()
-                if i == self.identity or nowMicros - self.followers[i].heardMicros < 2 * ELECTION_MICROS
+                if i == self.identity or nowMicros - self.followers[i].heardMicros < UNHEARD_MICROS
             )
             if heardCount < self._majority():
                 LOGGER.warning("vise: No majority answers. Stepping down.")
@@ -434,11 +458,18 @@
                 self._put_off_election()
 
     def _put_off_election(self) -> None:
-        waitMicros = ELECTION_MICROS + self.chance.randrange(ELECTION_MICROS)
+        waitMicros = ELECTION_MICROS + self.chance.randrange(ELECTION_SPREAD_MICROS)
         self.electionDeadline = self.clock.now() + waitMicros
 
+    def _retry_trial_soon(self) -> None:
+        """A trial disturbs nobody, so one that came too early or went astray costs only this much."""
+        self.electionDeadline = self.clock.now() + RETRY_MICROS + self.chance.randrange(RETRY_MICROS)
+
     def _start_election(self, isTrial: bool, isHandover: bool) -> None:
-        self._put_off_election()
+        if isTrial:
+            self._retry_trial_soon()
+        else:
+            self._put_off_election()
         self.role = "candidate"
         self.leaderIdentity = ""
         self.trialVote = isTrial
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,230 @@
+"""Founding, joining and replacing where founders are told once (§4.9), on virtual time."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+from collections.abc import Awaitable, Callable
+
+from pearhead.awl.clock import MILLI, SECOND
+from pearhead.awl.wire_pb2 import Command
+from pearhead.jig.deployment import KLIPPVIK
+from pearhead.jig.sim.fleet import SimFleet
+from pearhead.jig.sim.world import World, pause, run_virtual
+
+Play = Callable[[SimFleet], Awaitable[None]]
+
+
+def told_once(fleet: SimFleet) -> None:
+    """From here on no core is told of founders any more."""
+    for name in list(fleet.startups):
+        fleet.startups[name] = dataclasses.replace(fleet.startups[name], founders=[])
+
+
+def build_fleet(world: World, core_count: int) -> SimFleet:
+    """Seeds and founders are the first three, however many cores there are."""
+    fleet = SimFleet(world, dataclasses.replace(KLIPPVIK, coreCount=core_count), 1)
+    seeds = [f"core-{n + 1}:1" for n in range(3)]
+    for name in [n for n in fleet.startups if n.startswith("core-")]:
+        fleet.startups[name] = dataclasses.replace(fleet.startups[name], seeds=seeds, founders=seeds)
+    return fleet
+
+
+def voters_of(fleet: SimFleet) -> list[str]:
+    """The voters by the leader's log, if one leads."""
+    leader = fleet.leader()
+    return sorted(fleet.cores[leader].raft.voters().values()) if leader else []
+
+
+def all_agree(fleet: SimFleet, names: list[str]) -> bool:
+    """Each of these cores knows that exactly these vote."""
+    cores = [fleet.cores[n] for n in names]
+    wanted = {c.identity for c in cores}
+    return bool(fleet.leader()) and all(hasattr(c, "raft") and set(c.raft.voters()) == wanted for c in cores)
+
+
+async def seconds_until(fleet: SimFleet, is_reached: Callable[[], bool], limit_seconds: float = 20.0) -> float:
+    start_micros = fleet.world.now()
+    while not is_reached() and fleet.world.now() - start_micros < limit_seconds * SECOND:
+        await pause(fleet.world, 20 * MILLI)
+    return (fleet.world.now() - start_micros) / SECOND
+
+
+def run_cores(core_count: int, seed: int, play: Play) -> None:
+    async def play_all(world: World) -> None:
+        await play(build_fleet(world, core_count))
+
+    run_virtual(seed, play_all)
+
+
+class MembersTest(unittest.TestCase):
+    async def found(self, fleet: SimFleet) -> list[str]:
+        """Machines start within a second, in any order."""
+        names = [n for n in fleet.startups if n.startswith("core-")]
+        order = list(names)
+        fleet.world.chance.shuffle(order)
+        for name in order:
+            fleet.start(name)
+            await pause(fleet.world, fleet.world.chance.randrange(1_000 * MILLI // len(names)))
+        took_seconds = await seconds_until(fleet, lambda: all_agree(fleet, names))
+        self.assertLess(took_seconds, 2.5, f"{voters_of(fleet)} vote")
+        told_once(fleet)
+        return names
+
+    async def apply(self, fleet: SimFleet, mark: str, limit_seconds: float) -> None:
+        start_micros = fleet.world.now()
+        self.assertEqual(await fleet.apply(fleet.marked_description(mark)), "done")
+        self.assertLess((fleet.world.now() - start_micros) / SECOND, limit_seconds)
+
+    def test_all_cores_vote_soon_though_only_three_found(self) -> None:
+        for core_count in (3, 5):
+            for seed in range(4):
+                async def play(fleet: SimFleet) -> None:
+                    names = await self.found(fleet)
+                    await self.apply(fleet, "a", 2.0)
+                    lost_count = len(names) // 2
+                    for name in names:
+                        fleet.kill(name, losesPower=True)
+                    for name in names[lost_count:]:
+                        fleet.start(name)
+                    await seconds_until(fleet, lambda: bool(fleet.leader()))
+                    await self.apply(fleet, "b", 2.0)
+                    for name in names[:lost_count]:
+                        fleet.start(name)
+                    self.assertLess(await seconds_until(fleet, lambda: all_agree(fleet, names)), 2.0)
+
+                with self.subTest(cores=core_count, seed=seed):
+                    run_cores(core_count, seed, play)
+
+    def test_nothing_is_acknowledged_before_all_that_are_known_vote(self) -> None:
+        for seed in range(4):
+            async def play(fleet: SimFleet) -> None:
+                names = [n for n in fleet.startups if n.startswith("core-")]
+                for name in names:
+                    fleet.start(name)
+                applied = fleet.world.loop.create_task(fleet.apply(fleet.marked_description("a")))
+                await seconds_until(fleet, applied.done)
+                self.assertEqual(len(voters_of(fleet)), 5)
+
+            with self.subTest(seed=seed):
+                run_cores(5, seed, play)
+
+    def test_an_empty_disk_without_founders_never_founds(self) -> None:
+        async def play(fleet: SimFleet) -> None:
+            told_once(fleet)
+            for name in [n for n in fleet.startups if n.startswith("core-")]:
+                fleet.start(name)
+            await pause(fleet.world, 10 * SECOND)
+            self.assertEqual(voters_of(fleet), [])
+
+        run_cores(3, 1, play)
+
+    def test_founders_killed_before_they_founded_found_in_their_next_life(self) -> None:
+        async def play(fleet: SimFleet) -> None:
+            names = [n for n in fleet.startups if n.startswith("core-")]
+            fleet.start(names[0])
+            await pause(fleet.world, 100 * MILLI)
+            fleet.kill(names[0])
+            for name in names[1:]:
+                fleet.start(name)
+            fleet.startups[names[0]] = dataclasses.replace(fleet.startups[names[0]], founders=[])
+            fleet.start(names[0])
+            self.assertLess(await seconds_until(fleet, lambda: all_agree(fleet, names)), 3.0)
+
+        run_cores(3, 1, play)
+
+    def test_a_machine_that_lost_its_disk_votes_again_soon_at_its_address(self) -> None:
+        for core_count in (3, 5):
+            for seed in range(4):
+                async def play(fleet: SimFleet) -> None:
+                    names = await self.found(fleet)
+                    for number in range(6):
+                        await self.apply(fleet, str(number), 2.0)
+                        name = (fleet.leader() or names[0]) if number % 2 else names[number % len(names)]
+                        fleet.kill(name, losesPower=True)
+                        fleet.world.machine(name).disk.empty()
+                        await pause(fleet.world, fleet.world.chance.randrange(200 * MILLI, 4 * SECOND))
+                        fleet.start(name)
+                        took_seconds = await seconds_until(fleet, lambda: all_agree(fleet, names))
+                        self.assertLess(took_seconds, 2.0, f"{name}: {voters_of(fleet)} vote")
+                    self.assertEqual(len(fleet.cores[names[0]].fleet.history), 6)
+
+                with self.subTest(cores=core_count, seed=seed):
+                    run_cores(core_count, seed, play)
+
+    def test_two_of_five_disks_lost_while_the_rest_lose_power(self) -> None:
+        for seed in range(4):
+            async def play(fleet: SimFleet) -> None:
+                names = await self.found(fleet)
+                await self.apply(fleet, "a", 2.0)
+                for name in names:
+                    fleet.kill(name, losesPower=True)
+                for name in fleet.world.chance.sample(names, 2):
+                    fleet.world.machine(name).disk.empty()
+                for name in names:
+                    fleet.start(name)
+                self.assertLess(await seconds_until(fleet, lambda: all_agree(fleet, names)), 4.0)
+                self.assertEqual(len(fleet.cores[names[0]].fleet.history), 1)
+
+            with self.subTest(seed=seed):
+                run_cores(5, seed, play)
+
+    def test_cores_move_to_new_addresses_one_by_one(self) -> None:
+        """The old one vanishes before or after the new one came, or never started again."""
+        for seed in range(4):
+            async def play(fleet: SimFleet) -> None:
+                names = await self.found(fleet)
+                for number in range(3):
+                    new_name = f"core-{number + 6}"
+                    fleet.startups[new_name] = dataclasses.replace(
+                        fleet.startups[names[0]], address=f"{new_name}:1", httpAddress=f"{new_name}:2",
+                        seeds=[f"{n}:1" for n in names[:3]], founders=[], lostAfterMicros=3 * SECOND,
+                    )
+                    gone = names.pop(0)
+                    for is_first in fleet.world.chance.sample([True, False], 2):
+                        if is_first:
+                            fleet.kill(gone, losesPower=True)
+                        else:
+                            fleet.start(new_name)
+                        await pause(fleet.world, fleet.world.chance.randrange(SECOND))
+                    names.append(new_name)
+                    fleet.forget_core(gone)
+                    took_seconds = await seconds_until(fleet, lambda: all_agree(fleet, names), 30.0)
+                    self.assertLess(took_seconds, 20.0, f"{gone} to {new_name}: {voters_of(fleet)} vote")
+                    await self.apply(fleet, str(number), 2.0)
+
+            with self.subTest(seed=seed):
+                run_cores(3, seed, play)
+
+    def test_a_core_that_was_let_go_while_cut_off_comes_back_as_a_learner(self) -> None:
+        async def play(fleet: SimFleet) -> None:
+            names = await self.found(fleet)
+            gone = next(n for n in names if n != fleet.leader())
+            pairs = fleet.cut([gone], [n for n in names if n != gone])
+            fleet.startups["core-9"] = dataclasses.replace(
+                fleet.startups[names[0]], address="core-9:1", httpAddress="core-9:2", founders=[]
+            )
+            await pause(fleet.world, SECOND)
+            fleet.start("core-9")
+            now = [n for n in names if n != gone] + ["core-9"]
+            await seconds_until(fleet, lambda: all_agree(fleet, now))
+            fleet.mend(pairs)
+            await pause(fleet.world, 5 * SECOND)
+            members = fleet.cores[fleet.leader()].raft.members()
+            self.assertEqual({m.address: m.voter for m in members.member}[f"{gone}:1"], False)
+            fleet.kill(next(n for n in now if n != fleet.leader()), losesPower=True)
+            self.assertLess(await seconds_until(fleet, lambda: f"{gone}:1" in voters_of(fleet)), 8.0)
+
+        run_cores(3, 1, play)
+
+
+class LateTellTest(unittest.TestCase):
+    def test_a_command_before_founding_is_told_as_not_run(self) -> None:
+        async def play(fleet: SimFleet) -> None:
+            told_once(fleet)
+            fleet.start("core-1")
+            await pause(fleet.world, SECOND)
+            result = await fleet.cores["core-1"].execute(Command(transaction=b"a"))
+            self.assertEqual(result.status, "unavailable")
+
+        run_cores(3, 1, play)
