Links that end by themselves, stale frames dropped, all that waits by one write

Cause: a connection to a machine in the dark hung, a peer that read nothing held up to 512 frames, a failed connect threw away what had just been said, and the first frame to a process started again was lost. A boot-time clock may be refused.

Ruled out: a limit on the whole of a write (a digest over a slow link would never end): only a write of which nothing moved for 1 s is given up.

The clock falls back to the steady one.

--- a/src/pearhead/awl/clock.py
+++ b/src/pearhead/awl/clock.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+import unittest
 from collections.abc import Callable
 from typing import Protocol
 
@@ -21,11 +22,23 @@
     def after(self, delayMicros: int, callback: Callable[[], None]) -> Timer: ...
 
 
+def choose_clock(read: Callable[[int], int]) -> int:
+    """A kernel that refuses CLOCK_BOOTTIME has a steady clock at least."""
+    try:
+        read(time.CLOCK_BOOTTIME)
+    except OSError:
+        return time.CLOCK_MONOTONIC
+    return time.CLOCK_BOOTTIME
+
+
 class BootClock:
     """CLOCK_BOOTTIME goes on while the machine sleeps, so a woken process knows it is late."""
 
+    def __init__(self) -> None:
+        self.clock_id = choose_clock(time.clock_gettime_ns)
+
     def now(self) -> int:
-        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000
+        return time.clock_gettime_ns(self.clock_id) // 1_000
 
     def after(self, delayMicros: int, callback: Callable[[], None]) -> Timer:
         return asyncio.get_running_loop().call_later(max(delayMicros, 0) / SECOND, callback)
@@ -44,3 +57,12 @@
         await wakeFuture
     finally:
         restTimer.cancel()
+
+
+class ChooseClockTest(unittest.TestCase):
+    def test_a_refused_boot_clock_gives_way_to_the_steady_one(self) -> None:
+        def refuse(clock_id: int) -> int:
+            raise OSError(22, "refused")
+
+        self.assertEqual(choose_clock(refuse), time.CLOCK_MONOTONIC)
+        self.assertEqual(choose_clock(lambda clock_id: 1), time.CLOCK_BOOTTIME)
--- a/src/pearhead/awl/socketnet.py
+++ b/src/pearhead/awl/socketnet.py
@@ -3,15 +3,36 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 import struct
+import unittest
+from collections import deque
+from collections.abc import Callable
 
 import picologging
 
+from pearhead.awl.clock import MILLI, SECOND, BootClock, Clock, rest
 from pearhead.awl.net import MAXIMUM_FRAME, Receiver
 
 LOGGER = picologging.getLogger("pearhead")
 QUEUE_LIMIT = 512
-CONNECT_SECONDS = 1.0
+QUEUE_SIZE = 32 * 1024 * 1024
+BATCH_SIZE = 64 * 1024
+FRESH_MICROS = SECOND
+CONNECT_MICROS = 600 * MILLI
+RETRY_MICROS = 100 * MILLI
+STUCK_MICROS = SECOND
+FRAME_HEADER = struct.Struct(">I")
+# A machine in the dark answers nothing: without these a connection to it stays open for minutes (§3.5).
+LINK_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1_000),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -19,6 +40,13 @@
     return hostName.strip("[]"), int(portText)
 
 
+def set_options(stream_writer: asyncio.StreamWriter) -> None:
+    own_socket = stream_writer.get_extra_info("socket")
+    for level, name, value in LINK_OPTIONS:
+        with contextlib.suppress(OSError):
+            own_socket.setsockopt(level, name, value)
+
+
 class _CastProtocol(asyncio.DatagramProtocol):
     def __init__(self, owner: SocketNet) -> None:
         self.owner = owner
@@ -27,11 +55,109 @@
         self.owner.take(data)
 
 
+class OutLink:
+    """One connection out: frames in order, and none that waited for longer than a second (§3.5)."""
+
+    def __init__(self, target_address: str, clock: Clock) -> None:
+        self.host_name, self.port_number = split_address(target_address)
+        self.clock = clock
+        self.waiting: deque[tuple[int, bytes]] = deque()
+        self.waiting_size = 0
+        self.wake = asyncio.Event()
+        self.stream_reader: asyncio.StreamReader | None = None
+        self.stream_writer: asyncio.StreamWriter | None = None
+
+    def push(self, frame: bytes) -> None:
+        self.waiting.append((self.clock.now(), frame))
+        self.waiting_size += len(frame)
+        while len(self.waiting) > QUEUE_LIMIT or (self.waiting_size > QUEUE_SIZE and len(self.waiting) > 1):
+            self._take_first()
+        self.wake.set()
+
+    async def run(self) -> None:
+        try:
+            while True:
+                self._drop_stale()
+                if not self.waiting:
+                    self.wake.clear()
+                    await self.wake.wait()
+                elif self._is_open() or await self._connect():
+                    await self._write(self._take_batch())
+                else:
+                    await rest(self.clock, RETRY_MICROS)
+        finally:
+            self._reset()
+
+    def _take_first(self) -> bytes:
+        _, frame = self.waiting.popleft()
+        self.waiting_size -= len(frame)
+        return frame
+
+    def _drop_stale(self) -> None:
+        while self.waiting and self.clock.now() - self.waiting[0][0] > FRESH_MICROS:
+            self._take_first()
+
+    def _take_batch(self) -> bytes:
+        """What waits goes by one call of the system."""
+        parts: list[bytes] = []
+        size = 0
+        while self.waiting and size < BATCH_SIZE:
+            frame = self._take_first()
+            parts += (FRAME_HEADER.pack(len(frame)), frame)
+            size += len(frame)
+        return b"".join(parts)
+
+    def _is_open(self) -> bool:
+        if self.stream_reader is None or self.stream_writer is None:
+            return False
+        return not self.stream_writer.is_closing() and not self.stream_reader.at_eof()
+
+    async def _connect(self) -> bool:
+        self._reset()
+        try:
+            async with asyncio.timeout(CONNECT_MICROS / SECOND):
+                self.stream_reader, self.stream_writer = await asyncio.open_connection(
+                    self.host_name, self.port_number
+                )
+        except (OSError, TimeoutError):
+            return False
+        set_options(self.stream_writer)
+        # Nothing waits in the process beside the queue, so what is stale can still be dropped.
+        self.stream_writer.transport.set_write_buffer_limits(high=0)
+        self._drop_stale()
+        return bool(self.waiting)
+
+    async def _write(self, batch: bytes) -> None:
+        assert self.stream_writer is not None
+        transport = self.stream_writer.transport
+        try:
+            self.stream_writer.write(batch)
+            while left_size := transport.get_write_buffer_size():
+                try:
+                    async with asyncio.timeout(STUCK_MICROS / SECOND):
+                        await self.stream_writer.drain()
+                except TimeoutError:
+                    if transport.get_write_buffer_size() >= left_size:
+                        raise
+        except (OSError, TimeoutError):
+            self._reset()
+
+    def _reset(self) -> None:
+        """Lets go of what the kernel still holds too: delivered later, it would be stale."""
+        if self.stream_writer is not None and not self.stream_writer.is_closing():
+            own_socket = self.stream_writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.stream_writer.transport.abort()
+        self.stream_reader = self.stream_writer = None
+
+
 class SocketNet:
-    def __init__(self, ownAddress: str) -> None:
+    def __init__(self, ownAddress: str, clock: Clock | None = None) -> None:
         self.ownAddress = ownAddress
+        self.clock: Clock = clock or BootClock()
         self.frameReceiver: Receiver = lambda frameBytes: None
-        self.outQueues: dict[str, asyncio.Queue[bytes]] = {}
+        self.out_links: dict[str, OutLink] = {}
         self.ownTasks: set[asyncio.Task[None]] = set()
         self.streamServer: asyncio.Server | None = None
         self.castTransport: asyncio.DatagramTransport | None = None
@@ -66,51 +192,106 @@
             self.castTransport.sendto(datagramBytes, split_address(targetAddress))
 
     def send(self, targetAddress: str, frameBytes: bytes) -> None:
-        outQueue = self.outQueues.get(targetAddress)
-        if outQueue is None:
-            outQueue = self.outQueues[targetAddress] = asyncio.Queue(QUEUE_LIMIT)
-            sendTask = asyncio.get_running_loop().create_task(self._drain(targetAddress, outQueue))
-            self.ownTasks.add(sendTask)
-            sendTask.add_done_callback(self.ownTasks.discard)
-        if outQueue.full():
-            outQueue.get_nowait()
-        outQueue.put_nowait(frameBytes)
-
-    async def _drain(self, targetAddress: str, outQueue: asyncio.Queue[bytes]) -> None:
-        hostName, portNumber = split_address(targetAddress)
-        streamWriter: asyncio.StreamWriter | None = None
-        while True:
-            frameBytes = await outQueue.get()
-            try:
-                if streamWriter is None or streamWriter.is_closing():
-                    _, streamWriter = await asyncio.wait_for(
-                        asyncio.open_connection(hostName, portNumber), CONNECT_SECONDS
-                    )
-                assert streamWriter is not None
-                streamWriter.write(struct.pack(">I", len(frameBytes)) + frameBytes)
-                await streamWriter.drain()
-            except (OSError, TimeoutError):
-                if streamWriter is not None:
-                    streamWriter.close()
-                streamWriter = None
-                while not outQueue.empty():
-                    outQueue.get_nowait()
+        out_link = self.out_links.get(targetAddress)
+        if out_link is None:
+            out_link = self.out_links[targetAddress] = OutLink(targetAddress, self.clock)
+            send_task = asyncio.get_running_loop().create_task(out_link.run())
+            self.ownTasks.add(send_task)
+            send_task.add_done_callback(self.ownTasks.discard)
+        out_link.push(frameBytes)
 
     async def _serve(self, streamReader: asyncio.StreamReader, streamWriter: asyncio.StreamWriter) -> None:
         serveTask = asyncio.current_task()
         assert serveTask is not None
         self.ownTasks.add(serveTask)
+        set_options(streamWriter)
         try:
             while True:
-                (frameSize,) = struct.unpack(">I", await streamReader.readexactly(4))
+                (frameSize,) = FRAME_HEADER.unpack(await streamReader.readexactly(FRAME_HEADER.size))
                 if frameSize > MAXIMUM_FRAME:
                     LOGGER.warning("net: A frame of %d bytes was over the limit.", frameSize)
                     return
                 self.take(await streamReader.readexactly(frameSize))
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, OSError):
             return
         except asyncio.CancelledError:
             return
         finally:
             self.ownTasks.discard(serveTask)
             streamWriter.close()
+
+
+class OutLinkTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = BootClock()
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.address = f"127.0.0.1:{probe.getsockname()[1]}"
+
+    async def open_net(self, address: str = "127.0.0.1:0") -> tuple[SocketNet, list[bytes]]:
+        taken: list[bytes] = []
+        net = SocketNet(address)
+        net.listen(taken.append)
+        if not address.endswith(":0"):
+            await net.open()
+        self.addCleanup(net.close)
+        return net, taken
+
+    async def until(self, is_reached: Callable[[], bool], limit_micros: int = 4 * SECOND) -> bool:
+        end_micros = self.clock.now() + limit_micros
+        while not is_reached() and self.clock.now() < end_micros:
+            await rest(self.clock, 10 * MILLI)
+        return is_reached()
+
+    async def test_what_waited_for_a_second_is_dropped_and_the_rest_goes_in_order(self) -> None:
+        sender, _ = await self.open_net()
+        sender.send(self.address, b"stale")
+        await rest(self.clock, FRESH_MICROS + 100 * MILLI)
+        for number in range(5):
+            sender.send(self.address, b"%d" % number)
+        _, taken = await self.open_net(self.address)
+        self.assertTrue(await self.until(lambda: len(taken) == 5))
+        self.assertEqual(taken, [b"0", b"1", b"2", b"3", b"4"])
+
+    async def test_a_process_started_again_hears_the_next_frame_at_once(self) -> None:
+        sender, _ = await self.open_net()
+        former, _ = await self.open_net(self.address)
+        sender.send(self.address, b"a")
+        await rest(self.clock, 100 * MILLI)
+        former.close()
+        await rest(self.clock, 100 * MILLI)
+        _, taken = await self.open_net(self.address)
+        sender.send(self.address, b"b")
+        self.assertTrue(await self.until(lambda: taken == [b"b"], 500 * MILLI), taken)
+
+    async def test_a_peer_that_does_not_read_is_given_up_and_nothing_piles_up(self) -> None:
+        connections: list[asyncio.StreamWriter] = []
+
+        async def hold(stream_reader: asyncio.StreamReader, stream_writer: asyncio.StreamWriter) -> None:
+            stream_writer.transport.pause_reading()  # type: ignore[attr-defined]
+            connections.append(stream_writer)
+
+        host_name, port_number = split_address(self.address)
+        server = await asyncio.start_server(hold, host_name, port_number)
+        self.addCleanup(server.close)
+        sender, _ = await self.open_net()
+
+        def is_given_up() -> bool:
+            sender.send(self.address, bytes(1024 * 1024))
+            return len(connections) > 1
+
+        self.assertTrue(await self.until(is_given_up))
+        self.assertLessEqual(sender.out_links[self.address].waiting_size, QUEUE_SIZE)
+        for connection in connections:
+            connection.transport.abort()
+
+    async def test_links_end_by_themselves_when_the_peer_is_in_the_dark(self) -> None:
+        sender, _ = await self.open_net()
+        _, taken = await self.open_net(self.address)
+        sender.send(self.address, b"a")
+        self.assertTrue(await self.until(lambda: bool(taken)))
+        stream_writer = sender.out_links[self.address].stream_writer
+        assert stream_writer is not None
+        own_socket = stream_writer.get_extra_info("socket")
+        for level, name, value in LINK_OPTIONS:
+            self.assertEqual(own_socket.getsockopt(level, name), value)
