--- a/src/pearhead/anvil/core.py
+++ b/src/pearhead/anvil/core.py
@@ -146,11 +146,11 @@
 
     def apply(self, index: int, commandBytes: bytes) -> dict[str, Any]:
         try:
-            command = Command.FromString(commandBytes)
-            outcome = self.fleet.apply_command(index, command)
+            outcome = self.fleet.apply(index, commandBytes)
         except UnknownCommand as fault:
             self.fail(str(fault))
             raise
+        command = Command.FromString(commandBytes)
         bodyName = command.WhichOneof("body")
         if bodyName == "hold" and outcome["status"] == "done":
             self.holdSeen[command.hold.worker] = (outcome["fence"], self.clock.now())
--- a/src/pearhead/anvil/fleet.py
+++ b/src/pearhead/anvil/fleet.py
@@ -88,9 +88,7 @@
     # ---- Machine ---------------------------------------------------------------------------------
 
     def apply(self, index: int, commandBytes: bytes) -> Outcome:
-        return self.apply_command(index, Command.FromString(commandBytes))
-
-    def apply_command(self, index: int, command: Command) -> Outcome:
+        command = Command.FromString(commandBytes)
         bodyName = command.WhichOneof("body")
         if bodyName is None:
             # Going on without it would make this core's state another than the others' (§4.7).
