--- a/src/pearhead/awl/disk.py
+++ b/src/pearhead/awl/disk.py
@@ -8,11 +8,16 @@
 import os
 import shutil
 import tempfile
+import threading
 import unittest
 from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol, TypeVar
+from unittest import mock
 
+import picologging
+
+LOGGER = picologging.getLogger("pearhead")
 AnyT = TypeVar("AnyT")
 
 
@@ -45,8 +50,10 @@
         self.lockFile = open(folderPath / "lock", "a+b")  # noqa: SIM115 - held for life
         try:
             fcntl.flock(self.lockFile, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError as lockError:
+        except BlockingIOError as lockError:
             raise FolderBusy(f"data folder {folderPath} is held by another process") from lockError
+        except OSError as lock_error:
+            LOGGER.warning("disk: The folder can't be locked, going on without: %s.", lock_error)
         self.worker = concurrent.futures.ThreadPoolExecutor(1, "disk")
 
     def names(self) -> list[str]:
@@ -122,3 +129,31 @@
 
         asyncio.run(write())
         self.assertEqual((firstDisk.read("a"), firstDisk.names()), (b"onet", ["a", "b"]))
+
+    def test_a_folder_without_locks_is_used_all_the_same(self) -> None:
+        folder_path = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder_path)
+        with mock.patch("fcntl.flock", side_effect=OSError(38, "not implemented")):
+            self.assertEqual(FolderDisk(folder_path).names(), [])
+
+    def test_the_loop_runs_on_while_the_disk_stalls(self) -> None:
+        """Every call that writes or syncs waits off the loop (§2.1): whatever it is, others are served meanwhile."""
+        folder_path = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder_path)
+        disk = FolderDisk(folder_path)
+        released = threading.Event()
+
+        async def write_all() -> None:
+            with mock.patch("os.fsync", side_effect=lambda descriptor: released.wait(10)):
+                calls = [
+                    asyncio.ensure_future(call) for call in (
+                        disk.append("a", b"one"), disk.replace("b", b"x"), disk.truncate("a", 1), disk.remove("b"),
+                    )
+                ]
+                done, _ = await asyncio.wait(calls, timeout=0.2)
+                self.assertFalse(done, "a sync that hangs was not waited for")
+                released.set()
+                await asyncio.gather(*calls)
+
+        asyncio.run(write_all())
+        self.assertEqual((disk.names(), disk.read("a")), (["a"], b"o"))
--- a/src/pearhead/jig/sim/scenarios.py
+++ b/src/pearhead/jig/sim/scenarios.py
@@ -354,6 +354,8 @@
             ),
             f"{name} votes again", 2 * SECOND,
         )
+        if fleet.ledger.breaches:
+            return  # The next disk would be lost beside this one, which no core survives.
     await settle(fleet)
 
 
--- a/src/pearhead/vise/raft.py
+++ b/src/pearhead/vise/raft.py
@@ -710,6 +710,8 @@
                 self.baseIndex, self.baseEpoch, self.baseMembers = newBase, newEpoch, newMembers
         except OSError as diskError:
             self._take_disk_error(diskError)
+            # Written until the disk takes it: without it nobody would see that there is room again.
+            self._persist_mark(lambda: None)
         finally:
             self.digestBusy = False
 
@@ -731,6 +733,8 @@
             self.tell(address, "digestResult", result)
         except OSError as diskError:
             self._take_disk_error(diskError)
+            # Written until the disk takes it: without it nobody would see that there is room again.
+            self._persist_mark(lambda: None)
         finally:
             self.digestBusy = self.takingOver = False
 
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -153,3 +153,19 @@
             fleet.set_disk(leader, "full", False)
 
         self.play(play)
+
+    def test_disks_that_were_full_while_digests_were_kept(self) -> None:
+        """All of them at once, cut off and with nothing else to write: nobody may wait for another for ever."""
+        async def play(fleet: SimFleet, leader: str, others: list[str]) -> None:
+            pairs = fleet.cut([leader, *others], [leader, *others])
+            for name in [leader, *others]:
+                fleet.set_disk(name, "full", True)
+                raft = fleet.cores[name].raft
+                await raft._keep_digest(raft._build_digest())
+            await pause(fleet.world, 4 * SECOND)
+            for name in [leader, *others]:
+                fleet.set_disk(name, "full", False)
+            fleet.mend(pairs)
+            self.assertLess(await seconds_until(fleet, lambda: bool(fleet.leader())), 2.0)
+
+        self.play(play, core_counts=(3,), seeds=3)
