A scale run: hollow nodes and workers beside real processes, slopes, and their check

Now `jig scale-run AXIS` grows nodes, workers, tenants, lines of a job, or one table alone, fits lines, predicts the largest size from the smaller ones, and plots. Hollow nodes are real in transport, hellos and term. Conclusion: a dozen nodes say little of a thousand; the slopes do. Needs the extra `scale` (numpy, matplotlib).

--- a/src/pearhead/jig/main.py
+++ b/src/pearhead/jig/main.py
@@ -160,6 +160,22 @@
             print("\n".join(table(run_apart(runRow, sizes))))
             print()
 
+    def scale_run(self, axis: str, sizes: str = "", kept: str = "", plot: str = "") -> None:
+        """Grows a real fleet, or one table, along an axis on loopback; prints costs, slopes and their check.
+
+        Needs the extra `scale`. --kept names a file that holds what was measured; a later run goes on from it.
+        """
+        # Imported here: the fits and plots need libraries that no other command needs.
+        from pearhead.jig.scale.axes import AXES
+        from pearhead.jig.scale.scale_run import ScaleRun
+
+        if axis not in AXES:
+            raise SystemExit(f"jig: no axis {axis!r}; there are {', '.join(AXES)}")
+        chosen = AXES[axis]
+        given = sizes.split(",") if isinstance(sizes, str) else sizes if isinstance(sizes, (list, tuple)) else [sizes]
+        run = ScaleRun(axis, chosen, print, Path(kept) if kept else None)
+        run.run([int(x) for x in given if x != ""] or chosen.sizes, Path(plot) if plot else None)
+
     def description(self, deployment: str) -> None:
         """Prints the description file of an example deployment."""
         print(description_text(deployment_named(deployment)), end="")
--- /dev/null
+++ b/src/pearhead/jig/scale/hollow_nodes.py
@@ -0,0 +1,238 @@
+"""HollowNodes (§9.12): nodes that greet and keep their term as real ones do, many in one process.
+
+What is left out: the HTTP edge, purge, holds and nomination. What is real: the transport, the courier, the
+keeper of the term and the messages. The directory is one table for all hollow nodes of a process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+from collections import Counter
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from pearhead.awl.bench import Bench
+from pearhead.awl.clock import MILLI, SECOND, BootClock, Clock, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.crew import Crew
+from pearhead.awl.daemon import open_logs, serve_until_stopped
+from pearhead.awl.directory import FRIEND_COUNT, HELLO_MICROS, Directory
+from pearhead.awl.net import Net
+from pearhead.awl.socketnet import SocketNet, split_address
+from pearhead.awl.wire_pb2 import Envelope, Hello, HelloResult, Record
+from pearhead.lathe.term import TermKeeper
+
+FRESH_MICROS = 200 * MILLI
+LOOK_MICROS = 10 * MILLI
+
+
+class SharedDirectory(Directory):
+    """The table of all hollow nodes of a process, sorted five times a second and not for each reader."""
+
+    def __init__(self, own_records: list[Record], seeds: list[str], clock: Clock, chance: random.Random) -> None:
+        bench = Bench()
+        super().__init__(own_records[0], seeds, Courier("", "", bench, bench), clock, chance)
+        self.own_records = own_records
+        self.fresh_until = -1
+        self.by_role: dict[str | None, list[Record]] = {}
+        self.known_hash = ""
+
+    def members(self, role: str | None = None) -> list[Record]:
+        if self.clock.now() >= self.fresh_until:
+            self.refresh()
+        return self.by_role.get(role, [])
+
+    def refresh(self) -> None:
+        """All own records are alive: they share this process."""
+        for record in self.own_records:
+            self._take_record(record, 0)
+        found = super().members()
+        self.by_role = {None: found}
+        for record in found:
+            self.by_role.setdefault(record.role, []).append(record)
+        self.fresh_until = self.clock.now() + FRESH_MICROS
+        self.known_hash = self._known_hash()
+
+    def make_result(self, hello: Hello) -> HelloResult | None:
+        """What a node answers to a hello (§3.2); None if nothing is asked."""
+        self._take_record(hello.self, 0)
+        if not hello.wantsKnown:
+            return None
+        if hello.knownHash == self.known_hash:
+            ages = [self.clock.now() - self.records[r.identity][1] for r in self.members()]
+            return HelloResult(isSame=True, oldestAgeMicros=max(ages, default=0))
+        return HelloResult(known=[*self._aged_records(), self.selfRecord])
+
+
+class CountingCourier(Courier):
+    """Counts what comes in by its body, as the courier counts what goes out."""
+
+    def __init__(self, identity: str, own_address: str, net: Net, clock: Clock) -> None:
+        super().__init__(identity, own_address, net, clock)
+        self.received_counts: Counter[str] = Counter()
+        self.received_bytes: Counter[str] = Counter()
+
+    def _receive(self, frameBytes: bytes) -> None:
+        name = Envelope.FromString(frameBytes).WhichOneof("body") or "unknown"
+        self.received_counts[name] += 1
+        self.received_bytes[name] += len(frameBytes)
+        super()._receive(frameBytes)
+
+
+class HollowNode:
+    """One node's hellos and term questions, over a socket of its own."""
+
+    def __init__(self, record: Record, clock: Clock, chance: random.Random, crew: Crew) -> None:
+        self.record = record
+        self.clock = clock
+        self.chance = chance
+        self.net = SocketNet(record.address)
+        self.courier = CountingCourier(record.identity, record.address, self.net, clock)
+        self.crew = crew
+        self.directory: SharedDirectory
+        self.keeper: TermKeeper
+        self.reached: list[tuple[int, int]] = []
+        self.lost_count = 0
+        self.is_lost = True
+
+    async def run(self, directory: SharedDirectory, term_micros: int) -> None:
+        """Starts within one round of the others, as processes on many machines do."""
+        self.directory = directory
+        self.keeper = TermKeeper(self.courier, directory, self.clock, self.chance, self.crew, term_micros)
+        self.courier.on_tell("hello", self._take_hello)
+        self.courier.on_tell("helloResult", directory._take_hello_result)
+        await self.net.open()
+        await rest(self.clock, self.chance.randrange(HELLO_MICROS))
+        self.crew.start(self.keeper.run())
+        round_number = 0
+        while True:
+            self._greet(round_number)
+            round_number += 1
+            await rest(self.clock, HELLO_MICROS)
+
+    def look(self) -> None:
+        """Notes when a view came in force here, and when the term was lost."""
+        index = self.keeper.view.index
+        if index and (not self.reached or self.reached[-1][1] != index):
+            self.reached.append((self.clock.now(), index))
+        was_lost, self.is_lost = self.is_lost, not self.keeper.is_current()
+        self.lost_count += self.is_lost and not was_lost
+
+    def _greet(self, round_number: int) -> None:
+        cores = [r.address for r in self.directory.members("anvil")]
+        others = [r.address for r in self.directory.members("lathe") if r.address != self.record.address]
+        friends = self.chance.sample(others, min(FRIEND_COUNT, len(others)))
+        targets = (cores or self.directory.seedAddresses) + friends
+        for position, address in enumerate(targets):
+            is_asked = position == round_number % len(targets)
+            hello = Hello(knownHash=self.directory.known_hash if is_asked else "", wantsKnown=is_asked)
+            hello.self.CopyFrom(self.record)
+            self.courier.tell(address, "hello", hello)
+
+    def _take_hello(self, identity: str, address: str, hello: Hello) -> None:
+        result = self.directory.make_result(hello)
+        if result is not None:
+            self.courier.tell(address, "helloResult", result)
+
+
+@dataclass(frozen=True)
+class HollowNodesOrder:
+    """What one process of hollow nodes is told. It ends by itself after `limit_seconds`."""
+
+    addresses: list[str]
+    areas: list[str]
+    seeds: list[str]
+    control_address: str
+    seed: int
+    limit_seconds: int
+    term_micros: int = 2 * SECOND
+
+
+class HollowNodes:
+    """The hollow nodes of one process."""
+
+    def __init__(self, order: HollowNodesOrder, clock: Clock) -> None:
+        self.clock = clock
+        self.order = order
+        self.crew = Crew("jig")
+        chance = random.Random(order.seed)
+        records = [
+            Record(identity=chance.randbytes(12).hex(), address=address, role="lathe",
+                   area=order.areas[number % len(order.areas)], httpAddress=address)
+            for number, address in enumerate(order.addresses)
+        ]
+        self.directory = SharedDirectory(records, order.seeds, clock, chance)
+        self.nodes = [HollowNode(r, clock, random.Random(chance.random()), self.crew) for r in records]
+
+    async def run(self) -> None:
+        for node in self.nodes:
+            self.crew.start(node.run(self.directory, self.order.term_micros))
+        while True:
+            await rest(self.clock, LOOK_MICROS)
+            for node in self.nodes:
+                if hasattr(node, "keeper"):
+                    node.look()
+
+    def state(self, index: int) -> dict[str, Any]:
+        """Counts of messages and bytes; who holds the view of an index, and when the last came to it (µs)."""
+        times = [next((at for at, held in n.reached if held >= index), None) for n in self.nodes]
+        known = [at for at in times if at is not None]
+        sent: Counter[str] = Counter()
+        sent_bytes: Counter[str] = Counter()
+        received: Counter[str] = Counter()
+        received_bytes: Counter[str] = Counter()
+        for node in self.nodes:
+            sent.update(node.courier.sentCounts)
+            sent_bytes.update(node.courier.sentBytes)
+            received.update(node.courier.received_counts)
+            received_bytes.update(node.courier.received_bytes)
+        return {
+            "nodes": len(self.nodes), "known": len(self.directory.members()) + 1, "at_index": len(known),
+            "last_micros": max(known, default=0), "lost": sum(n.is_lost for n in self.nodes),
+            "lost_count": sum(n.lost_count for n in self.nodes), "faults": [repr(f) for f in self.crew.faults[:3]],
+            "sent": dict(sent), "sent_bytes": dict(sent_bytes),
+            "received": dict(received), "received_bytes": dict(received_bytes),
+        }
+
+
+class StateHandler(RequestHandler):
+    def initialize(self, hollow: HollowNodes) -> None:
+        self.hollow = hollow
+
+    def get(self) -> None:
+        self.finish(self.hollow.state(int(self.get_argument("index", "1"))))
+
+
+async def serve(order: HollowNodesOrder) -> int:
+    """Serves until SIGTERM or the limit of the order."""
+    hollow = HollowNodes(order, BootClock())
+    application = Application([("/state", StateHandler, {"hollow": hollow})], log_function=lambda handler: None)
+    host, port = split_address(order.control_address)
+    HTTPServer(application).listen(port, host)
+    ended = asyncio.Event()
+    asyncio.get_running_loop().call_later(order.limit_seconds, ended.set)
+    hollow.crew.start(hollow.run())
+
+    async def drain() -> None:
+        hollow.crew.stop()
+
+    return await serve_until_stopped(drain, ended)
+
+
+def order_text(order: HollowNodesOrder) -> str:
+    return json.dumps(asdict(order))
+
+
+def main() -> None:
+    open_logs("WARNING")
+    raise SystemExit(asyncio.run(serve(HollowNodesOrder(**json.loads(sys.argv[1])))))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/pearhead/jig/scale/live_fleet.py
@@ -0,0 +1,246 @@
+"""LiveFleet (§9.12): real cores and a few real nodes beside hollow nodes and hollow workers, on loopback."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pearhead.awl.clock import BootClock
+from pearhead.jig.launcher import FreePorts
+from pearhead.jig.scale import hollow_nodes, hollow_workers
+from pearhead.jig.scale.hollow_nodes import HollowNodesOrder
+from pearhead.jig.scale.hollow_workers import HollowWorkersOrder
+from pearhead.jig.scale.process_set import ProcessSet, get, post
+from pearhead.jig.scale.process_stat import ProcessStat
+
+AREAS = ["north", "middle", "south"]
+READY_SECONDS = 60.0
+POLL_SECONDS = 0.02
+NODES_A_PROCESS = 100
+WORKERS_A_PROCESS = 200
+TENANT_KEY = "example-scale"
+
+
+@dataclass(frozen=True)
+class FleetSize:
+    """How many of each; hollow nodes stand beside the real ones. Tenants are those of the description.
+
+    With `is_unheld` workers may stand beside hollow nodes: most are then held by nobody, which is what is measured.
+    """
+
+    hollow_nodes: int
+    real_nodes: int = 2
+    hollow_workers: int = 0
+    tenants: int = 8
+    cores: int = 3
+    events_a_second: float = 0.0
+    lines_a_job: int = 2
+    limit_seconds: int = 200
+    is_unheld: bool = False
+
+    def nodes(self) -> int:
+        return self.hollow_nodes + self.real_nodes
+
+
+class NotInTime(Exception):
+    """What the run waited for did not come within its limit."""
+
+
+def build_description(tenants: int, mark: str) -> dict[str, Any]:
+    """One line and one entry for every tenant; the mark makes each apply another."""
+    return {
+        "lines": [{"name": "line", "weights": "w1"}],
+        "services": [{"name": "models", "role": "model"}],
+        "entries": [
+            {"name": "long", "line": "line", "tenants": ["*"], "kinds": ["long"], "service": "models",
+             "concurrency": 1_000},
+            {"name": "mark", "line": "line", "tenants": ["*"], "kinds": [f"mark-{mark}"], "service": "models"},
+        ],
+        "tenants": [
+            {"name": f"tenant-{n}", "group": "",
+             "keyHashes": [hashlib.sha256(f"{TENANT_KEY}-{n}".encode()).hexdigest()]}
+            for n in range(tenants)
+        ],
+        "limits": {"retryShare": 0.1, "prefixParts": 256},
+    }
+
+
+class LiveFleet:
+    """Starts a fleet in a temporary folder; `end` stops all of it. ValueError for workers beside hollow nodes."""
+
+    def __init__(self, size: FleetSize, pause: Callable[[float], None] = time.sleep) -> None:
+        if size.hollow_nodes and size.hollow_workers and not size.is_unheld:
+            # Who holds a worker is drawn among all nodes (§7.2), and hollow ones hold none.
+            raise ValueError("hollow nodes hold no workers")
+        self.size = size
+        self.pause = pause
+        self.clock = BootClock()
+        self.folder = tempfile.TemporaryDirectory(prefix="scale-")
+        self.processes = ProcessSet(Path(self.folder.name))
+        host_count = -(-size.hollow_nodes // NODES_A_PROCESS)
+        needed = 2 * (size.cores + size.real_nodes) + size.hollow_nodes + host_count + size.hollow_workers
+        ports = iter(FreePorts().draw(needed))
+        self.core_addresses = [f"127.0.0.1:{next(ports)}" for _ in range(size.cores)]
+        self.core_http = {f"core-{n + 1}": f"127.0.0.1:{next(ports)}" for n in range(size.cores)}
+        self.node_addresses = [f"127.0.0.1:{next(ports)}" for _ in range(size.real_nodes)]
+        self.node_http = {f"node-{n + 1}": f"127.0.0.1:{next(ports)}" for n in range(size.real_nodes)}
+        self.hollow_addresses = [f"127.0.0.1:{next(ports)}" for _ in range(size.hollow_nodes)]
+        self.host_control = {f"hollow-{n + 1}": f"127.0.0.1:{next(ports)}" for n in range(host_count)}
+        self.worker_addresses = [f"127.0.0.1:{next(ports)}" for _ in range(size.hollow_workers)]
+        self.revision = 0
+        self.applied = 0
+
+    # ---- up and down -------------------------------------------------------------------------------
+
+    def up(self) -> None:
+        """Ready: every node holds the description, and every worker is loaded. Raises NotInTime."""
+        for number, (name, http) in enumerate(self.core_http.items()):
+            self._start_daemon(name, "anvil", {
+                "address": self.core_addresses[number], "httpAddress": http, "area": AREAS[number % 3],
+                "seeds": self.core_addresses, "founders": self.core_addresses, "logLevel": "WARNING",
+                "dataFolder": str(Path(self.folder.name) / f"{name}.data"),
+            })
+        for start in range(0, len(self.worker_addresses), WORKERS_A_PROCESS):
+            self.processes.start(f"workers-{start}", "pearhead.jig.scale.hollow_workers", hollow_workers.order_text(
+                HollowWorkersOrder(
+                    self.worker_addresses[start : start + WORKERS_A_PROCESS], self.size.events_a_second,
+                    self.size.lines_a_job, start + 1, self.size.limit_seconds,
+                )
+            ))
+        for number, (name, http) in enumerate(self.node_http.items()):
+            self._start_daemon(name, "lathe", {
+                "address": self.node_addresses[number], "httpAddress": http, "area": AREAS[number % 3],
+                "seeds": self.core_addresses, "logLevel": "WARNING",
+            })
+        for number, (name, control) in enumerate(self.host_control.items()):
+            part = self.hollow_addresses[number * NODES_A_PROCESS : (number + 1) * NODES_A_PROCESS]
+            self.processes.start(name, "pearhead.jig.scale.hollow_nodes", hollow_nodes.order_text(
+                HollowNodesOrder(part, AREAS, self.core_addresses, control, number + 1, self.size.limit_seconds)
+            ))
+        self._command("/workers", {"applyId": "workers", "workers": [
+            {"name": f"worker-{n}", "address": a, "area": AREAS[n % 3], "service": "models", "leaving": False}
+            for n, a in enumerate(self.worker_addresses)
+        ]})
+        self.apply()
+        self.wait_until(lambda: all(s["known"] >= self.size.nodes() + self.size.cores for s in self.hollow_states()),
+                        "every hollow node knows all")
+        self.wait_in_force()
+        self.wait_until(lambda: self.size.is_unheld or all(
+            s is not None and len(s["loads"]) == self.size.hollow_workers
+            for s in (get(a, "/soundness") for a in self.node_http.values())
+        ), "every worker loaded")
+
+    def end(self) -> None:
+        self.processes.end()
+        self.folder.cleanup()
+
+    def _start_daemon(self, name: str, program: str, startup: dict[str, Any]) -> None:
+        path = Path(self.folder.name) / f"{name}.json"
+        path.write_text(json.dumps(startup))
+        self.processes.start(name, f"pearhead.{program}.main", "run", "--startup", str(path))
+
+    def wait_until(self, is_reached: Callable[[], bool], what: str) -> None:
+        limit = time.monotonic() + READY_SECONDS
+        while not is_reached():
+            if time.monotonic() > limit:
+                raise NotInTime(what)
+            time.sleep(POLL_SECONDS)
+
+    # ---- commands ------------------------------------------------------------------------------------
+
+    def _command(self, path: str, body: dict[str, Any], limit_seconds: float = 10.0) -> dict[str, Any]:
+        """Asks the cores in turn until one takes it; the same apply id goes to each."""
+        result: dict[str, Any] = {}
+
+        def is_taken() -> bool:
+            nonlocal result
+            for name, address in self.core_http.items():
+                if self.processes.processes[name].poll() is None:
+                    result = post(address, path, body, limit_seconds)
+                    if result.get("status") not in ("unavailable", "unknown"):
+                        return True
+            return False
+
+        self.wait_until(is_taken, f"a core that takes {path}")
+        if result.get("status") != "done":
+            raise NotInTime(f"{path} was not taken: {result}")
+        return result
+
+    def apply(self, limit_seconds: float = 10.0) -> int:
+        """Applies a description that differs in its mark; the clock (µs) at its acknowledgement.
+
+        A core that gives no answer within the limit is left for the next one.
+        """
+        self.applied += 1
+        result = self._command("/apply", {
+            "applyId": f"apply-{self.applied}", "base": self.revision, "by": "jig",
+            "description": build_description(self.size.tenants, str(self.applied)),
+        }, limit_seconds)
+        acknowledged = self.clock.now()
+        self.revision = int(result["revision"])
+        return acknowledged
+
+    def wait_in_force(self) -> int:
+        """The clock (µs) when the last node, hollow or real, held the present revision."""
+        last = 0
+
+        def is_in_force() -> bool:
+            nonlocal last
+            real = [get(a, "/soundness") for a in self.node_http.values()]
+            if not all(s is not None and s["viewIndex"] >= self.revision and s["current"] for s in real):
+                return False
+            states = self.hollow_states()
+            if not states:
+                last = self.clock.now()
+            else:
+                last = max(s["last_micros"] for s in states)
+            return all(s["at_index"] == s["nodes"] for s in states)
+
+        self.wait_until(is_in_force, f"revision {self.revision} in force everywhere")
+        return last
+
+    def leader(self) -> str:
+        """Raises NotInTime if no core leads."""
+        found = ""
+
+        def is_found() -> bool:
+            nonlocal found
+            for name, address in self.core_http.items():
+                state = get(address, "/soundness") if self.processes.processes[name].poll() is None else None
+                if state is not None and state["role"] == "leader":
+                    found = name
+            return bool(found)
+
+        self.wait_until(is_found, "a leader")
+        return found
+
+    # ---- reading ---------------------------------------------------------------------------------------
+
+    def hollow_states(self) -> list[dict[str, Any]]:
+        states = [get(a, f"/state?index={self.revision}") for a in self.host_control.values()]
+        return [s for s in states if s is not None] if None not in states else [{
+            "known": 0, "at_index": -1, "nodes": 0, "last_micros": 0,
+        }]
+
+    def node_states(self) -> list[dict[str, Any]]:
+        return [s for s in (get(a, "/soundness") for a in self.node_http.values()) if s is not None]
+
+
+def cores_used(before: dict[str, ProcessStat], after: dict[str, ProcessStat], elapsed_micros: int, part: str) -> float:
+    """Processor time of the processes whose names begin with `part`, a second, in cores; the mean of them."""
+    used = [after[n].cpu_micros - before[n].cpu_micros for n in after if n.startswith(part) and n in before]
+    return sum(used) / max(1, len(used)) / elapsed_micros
+
+
+def resident(stats: dict[str, ProcessStat], part: str) -> float:
+    """Resident bytes, the mean of the processes whose names begin with `part`."""
+    held = [s.resident_bytes for n, s in stats.items() if n.startswith(part)]
+    return sum(held) / max(1, len(held))
+
+
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,136 @@
+"""The scale run: fits, hollow nodes and workers, and small fixed runs of real processes beside them (§9.12)."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from pearhead.awl.bench import Bench
+from pearhead.awl.wire_pb2 import Hello, Record
+from pearhead.jig.scale.axes import Axis
+from pearhead.jig.scale.fit import Fitter
+from pearhead.jig.scale.hollow_nodes import SharedDirectory
+from pearhead.jig.scale.hollow_workers import HollowWorker, HollowWorkersOrder
+from pearhead.jig.scale.job_load import JOBS, measure_jobs
+from pearhead.jig.scale.live_fleet import FleetSize
+from pearhead.jig.scale.live_run import LiveRun, measure_applies, measure_killed_leader
+from pearhead.jig.scale.part_costs import (
+    measure_blocks,
+    measure_directory,
+    measure_state,
+    measure_volumes,
+)
+from pearhead.jig.scale.process_set import PROCESS_LIMIT, OverLimit, ProcessSet
+from pearhead.jig.scale.scale_run import ScaleRun
+
+
+class FitterTest(unittest.TestCase):
+    def test_lines_and_parabolas_come_out_and_the_largest_is_predicted(self) -> None:
+        sizes = [1.0, 2.0, 5.0, 9.0]
+        line = Fitter().fit(sizes, [3 + 2 * x for x in sizes])
+        self.assertAlmostEqual(line.at(100), 203)
+        self.assertAlmostEqual(line.spread, 0)
+        parabola = Fitter(has_square=True).fit(sizes, [1 + x * x for x in sizes])
+        self.assertAlmostEqual(parabola.at(10), 101)
+        check = Fitter().check([9, 1, 2, 5], [99, 5, 7, 13])
+        self.assertAlmostEqual(check.predicted, 21)
+        self.assertAlmostEqual(check.off(), 78 / 99)
+        with self.assertRaises(ValueError):
+            Fitter(has_square=True).fit([1, 2], [1, 2])
+
+
+class ScaleRunTest(unittest.TestCase):
+    def test_a_run_goes_on_from_what_was_kept_and_tells_a_miss(self) -> None:
+        asked: list[int] = []
+
+        def measure(size: int) -> dict[str, float]:
+            asked.append(size)
+            return {"cost": float(size if size < 30 else 10 * size), "other": 1.0}
+
+        axis = Axis((10, 20, 25, 30), "things", 100, measure, {"cost": False})
+        kept = Path(tempfile.mkdtemp()) / "kept.json"
+        told: list[str] = []
+        self.assertTrue(ScaleRun("axis", axis, told.append, kept).run([10, 20, 25]))
+        plot = kept.with_suffix(".svg")
+        self.assertFalse(ScaleRun("axis", axis, told.append, kept).run([10, 20, 25, 30], plot), "30 misses")
+        self.assertEqual(asked, [10, 20, 25, 30], "each size once")
+        self.assertIn("<svg", plot.read_text())
+        self.assertIn("| cost | ", "\n".join(told))
+
+
+class PartCostsTest(unittest.TestCase):
+    def test_counts_follow_from_the_sizes(self) -> None:
+        self.assertEqual(measure_directory(12)["nodes"], 9)
+        self.assertAlmostEqual(measure_blocks(1_000)["bytes of an event on the wire"], 37.48)
+        volumes = measure_volumes(4)
+        self.assertAlmostEqual(volumes["tables/s"], 4 * 0.05, places=6)
+        self.assertAlmostEqual(volumes["requests, datagrams/s"], 4 * 0.15, places=6)
+        small, large = measure_state(10), measure_state(40)
+        self.assertGreater(large["bytes to a node a confirmed load"], 3 * small["bytes to a node a confirmed load"])
+
+
+class HollowTest(unittest.TestCase):
+    def test_hollow_nodes_answer_hellos_as_nodes_do(self) -> None:
+        records = [Record(identity=f"n{i}", address=f"a:{i}", role="lathe") for i in range(3)]
+        directory = SharedDirectory(records, ["seed:1"], Bench(), random.Random(1))
+        directory.refresh()
+        core = Record(identity="core", address="c:1", role="anvil")
+        self.assertIsNone(directory.make_result(Hello(self=core)))
+        asked = Hello(self=core, wantsKnown=True, knownHash="other")
+        directory.refresh()
+        whole = directory.make_result(asked)
+        assert whole is not None
+        self.assertEqual({r.identity for r in whole.known}, {"n0", "n1", "n2", "core"})
+        same = directory.make_result(Hello(self=core, wantsKnown=True, knownHash=directory.known_hash))
+        assert same is not None
+        self.assertTrue(same.isSame)
+        self.assertEqual([r.identity for r in directory.members("anvil")], ["core"])
+
+    def test_hollow_workers_tell_each_kept_block_once(self) -> None:
+        bench = Bench()
+        worker = HollowWorker(bench, random.Random(1), HollowWorkersOrder(["a:1"], 20.0, 2, 1, 10))
+        life, sequence = worker.load()["life"], worker.load()["sequence"]
+        told: list[str] = []
+        for _ in range(4):
+            bench.nowMicros += 250_000
+            report = worker.events(life, sequence)
+            self.assertFalse(report["whole"])
+            sequence = report["sequence"]
+            told += report["kept"]
+        self.assertEqual((len(told), len(set(told))), (20, 20))
+        self.assertTrue(worker.events("another", 0)["whole"])
+
+
+class SmallScaleRunTest(unittest.TestCase):
+    def test_a_small_fixed_run_measures_cores_and_nodes_and_leaves_nothing_behind(self) -> None:
+        run = LiveRun(0.0, 0.0, pause=lambda seconds: None)
+        row = run.run(FleetSize(10, 1, limit_seconds=120), (measure_applies, measure_killed_leader))
+        self.assertEqual(row["run, processes"], 5, "three cores, a node, one of hollow nodes")
+        for name in ("core, MB", "node, MB", "apply in force, worst ms", "leader killed to a change in force, ms"):
+            self.assertGreater(row[name], 0, name)
+
+    def test_a_small_fixed_run_of_workers_and_jobs(self) -> None:
+        run = LiveRun(0.0, 0.0, pause=lambda seconds: None)
+        size = FleetSize(0, 1, hollow_workers=2, events_a_second=20.0, lines_a_job=3, limit_seconds=120)
+        row = run.run(size, (measure_jobs,))
+        self.assertEqual((row["jobs done"], row["jobs failed"]), (JOBS, 0))
+
+    def test_hollow_nodes_hold_no_workers(self) -> None:
+        with self.assertRaises(ValueError):
+            LiveRun().run(FleetSize(10, 1, hollow_workers=2))
+
+    def test_a_run_stays_under_its_limit_of_processes(self) -> None:
+        processes = ProcessSet(Path(tempfile.mkdtemp()))
+        self.addCleanup(processes.end)
+        held: Any = {str(number): None for number in range(PROCESS_LIMIT - 1)}
+        processes.processes = held
+        with self.assertRaises(OverLimit):
+            processes.start("one too many", "pearhead.jig.main")
+        held.clear()
+
+
+if __name__ == "__main__":
+    unittest.main()
