docs/CAPACITY.md: each role's cost at the target, what breaks first, what could carry it

Which roles stand at 1,200 nodes before 10,000 workers was guessed. Ruled out: figures typed by hand. Conclusion: nine needs are over, each with a way and two that were weighed; all of that is reckoned and none built. Partial: axes reach 350 nodes and 250 workers, as the runs share a machine; tenants, records and the state reach the target's own size. docs/design.md 11 names the sections that will be replaced.

--- a/src/pearhead/jig/main.py
+++ b/src/pearhead/jig/main.py
@@ -176,6 +176,12 @@
         run = ScaleRun(axis, chosen, print, Path(kept) if kept else None)
         run.run([int(x) for x in given if x != ""] or chosen.sizes, Path(plot) if plot else None)
 
+    def scale_page(self, kept: str = "docs/capacity.json") -> None:
+        """Prints the tables of docs/CAPACITY.md anew from what the scale runs measured. Needs the extra `scale`."""
+        from pearhead.jig.scale.page import page_lines
+
+        print("\n".join(page_lines(json.loads(Path(kept).read_text()))))
+
     def description(self, deployment: str) -> None:
         """Prints the description file of an example deployment."""
         print(description_text(deployment_named(deployment)), end="")
--- /dev/null
+++ b/src/pearhead/jig/scale/page.py
@@ -0,0 +1,19 @@
+"""Page (§9.12): all tables of docs/CAPACITY.md, printed anew from what the scale runs measured."""
+
+from __future__ import annotations
+
+from pearhead.jig.scale.capacity import Rows, Slopes, capacity_lines, fit_lines, growth_lines
+from pearhead.jig.scale.mechanisms import mechanism_lines
+
+
+def page_parts(rows: Rows) -> dict[str, list[str]]:
+    """By part: what each role costs, how it grows, what could carry it, and what was measured."""
+    slopes = Slopes(rows)
+    return {
+        "roles": capacity_lines(slopes), "growth": growth_lines(slopes), "mechanisms": mechanism_lines(slopes),
+        "measured": fit_lines(rows),
+    }
+
+
+def page_lines(rows: Rows) -> list[str]:
+    return [line for lines in page_parts(rows).values() for line in [*lines, ""]]
