A scale run that is stopped or late ends all that it started

Cause: a SIGTERM to the run left its cores and nodes up, as only hollow processes have a limit of their own. Ruled out: a limit in the daemons, which are not changed for this. Before: by reading, six processes would stay at 12 nodes. Conclusion: the run stops by itself.

--- a/src/pearhead/jig/main.py
+++ b/src/pearhead/jig/main.py
@@ -167,12 +167,13 @@
         """
         # Imported here: the fits and plots need libraries that no other command needs.
         from pearhead.jig.scale.axes import AXES
-        from pearhead.jig.scale.scale_run import ScaleRun
+        from pearhead.jig.scale.scale_run import ScaleRun, stop_by_itself
 
         if axis not in AXES:
             raise SystemExit(f"jig: no axis {axis!r}; there are {', '.join(AXES)}")
         chosen = AXES[axis]
         given = sizes.split(",") if isinstance(sizes, str) else sizes if isinstance(sizes, (list, tuple)) else [sizes]
+        stop_by_itself()
         run = ScaleRun(axis, chosen, print, Path(kept) if kept else None)
         run.run([int(x) for x in given if x != ""] or chosen.sizes, Path(plot) if plot else None)
 
--- a/src/pearhead/jig/scale/scale_run.py
+++ b/src/pearhead/jig/scale/scale_run.py
@@ -3,13 +3,27 @@
 from __future__ import annotations
 
 import json
+import signal
 from collections.abc import Callable, Sequence
 from pathlib import Path
+from typing import NoReturn
 
 from pearhead.jig.scale.axes import Axis
 from pearhead.jig.scale.report import fit_axis, fit_text, plot_axis, table_lines
 
 Row = dict[str, float]
+SIZE_LIMIT_SECONDS = 230
+
+
+def _stop(signal_number: int, frame: object) -> NoReturn:
+    """Raised where the run stands, so that it ends what it started."""
+    raise SystemExit(f"jig: the run was stopped by signal {signal_number}")
+
+
+def stop_by_itself() -> None:
+    """A size that is not through in time, or a SIGTERM, ends the run and all its processes."""
+    for signal_number in (signal.SIGALRM, signal.SIGTERM):
+        signal.signal(signal_number, _stop)
 
 
 class ScaleRun:
@@ -29,7 +43,7 @@
         held = everything.setdefault(self.name, {})
         for size in sizes:
             if str(size) not in held:
-                held[str(size)] = {name: float(f"{value:.6g}") for name, value in self.axis.run(size).items()}
+                held[str(size)] = self._measure(size)
                 if self.kept is not None:
                     self.kept.write_text(json.dumps(everything, indent=1, ensure_ascii=False) + "\n")
         rows = [held[str(size)] for size in sizes]
@@ -40,3 +54,10 @@
         if plot is not None:
             plot_axis(self.axis, sizes, rows, plot)
         return all(f.is_within() for f in fits)
+
+    def _measure(self, size: int) -> Row:
+        signal.alarm(SIZE_LIMIT_SECONDS)
+        try:
+            return {name: float(f"{value:.6g}") for name, value in self.axis.run(size).items()}
+        finally:
+            signal.alarm(0)
