Nodes of a large fleet tell one another by way of a relay in each zone

Cause: at 63 front nodes 670 datagrams a second reached each (417 use, 196 kept parts), and rendezvous and the directory's list were made anew thousands of times a second. Messages a period: from n(n-1) to 2n + 9 (test).

--- a/src/pearhead/awl/directory.py
+++ b/src/pearhead/awl/directory.py
@@ -17,6 +17,7 @@
 LIFETIME_MICROS = 5 * SECOND
 FRIEND_COUNT = 2
 RECORD_LIMIT = 1_000
+CACHE_MICROS = 200_000
 
 
 class Directory:
@@ -30,12 +31,25 @@
         self.clock = clock
         self.chance = chance
         self.records: dict[str, tuple[Record, int]] = {}
+        # Asked for many times a second; who is known changes seldom, and records end by whole seconds.
+        self.cached: dict[str | None, list[Record]] = {}
+        self.cachedFrom = self.cachedUntil = 0
         courier.on_tell("hello", self._take_hello)
         courier.on_tell("helloResult", self._take_hello_result)
 
     def members(self, role: str | None = None) -> list[Record]:
         """The live records, one an address: a process started again goes before its former life."""
-        bornLimit = self.clock.now() - LIFETIME_MICROS
+        nowMicros = self.clock.now()
+        if not self.cachedFrom <= nowMicros < self.cachedUntil:
+            self.cached = {}
+            self.cachedFrom, self.cachedUntil = nowMicros, nowMicros + CACHE_MICROS
+        found = self.cached.get(role)
+        if found is None:
+            found = self.cached[role] = self._find_members(role, nowMicros)
+        return list(found)
+
+    def _find_members(self, role: str | None, nowMicros: int) -> list[Record]:
+        bornLimit = nowMicros - LIFETIME_MICROS
         byAddress: dict[str, tuple[int, Record]] = {}
         for _, (record, bornMicros) in sorted(self.records.items()):
             heldBorn, _ = byAddress.get(record.address, (-1, record))
@@ -136,6 +150,8 @@
         heldRecord, heldBorn = self.records.get(record.identity, (None, -1))
         if heldRecord is None or bornMicros > heldBorn:
             self.records[record.identity] = (record, bornMicros)
+            if heldRecord is None or heldRecord != record or heldBorn < self.clock.now() - LIFETIME_MICROS:
+                self.cachedUntil = 0
             if len(self.records) > RECORD_LIMIT:
                 oldestIdentity = min(self.records, key=lambda i: self.records[i][1])
                 del self.records[oldestIdentity]
--- a/src/pearhead/lathe/gateway.py
+++ b/src/pearhead/lathe/gateway.py
@@ -14,7 +14,7 @@
 from pearhead.awl.net import Net
 from pearhead.awl.startup import Startup
 from pearhead.awl.view import View
-from pearhead.awl.wire_pb2 import Record, UseNote
+from pearhead.awl.wire_pb2 import KeptNote, Record, UseNote
 from pearhead.lathe.core_commander import CoreCommander
 from pearhead.lathe.fleet_budget import FleetBudget
 from pearhead.lathe.gate import Gate
@@ -24,6 +24,7 @@
 from pearhead.lathe.opaque import AnswerHead, Dialect
 from pearhead.lathe.part_salt import PartSalt
 from pearhead.lathe.placer import Placer
+from pearhead.lathe.relay import Relay
 from pearhead.lathe.roll_out import RollOut
 from pearhead.lathe.roster import RosterKeeper
 from pearhead.lathe.roster_recorder import RosterRecorder
@@ -49,6 +50,7 @@
     retry_window_micros: int = 10 * SECOND
     serve_on_micros: int = 60 * SECOND
     list_micros: int = SECOND
+    least_kept_tokens: int = 512
 
 
 class GatewayProcess:
@@ -79,7 +81,10 @@
         self.rosters.watchers.append(self.versions.take_roster)
         self.gatherer = KeptGatherer(
             self.identity, self.courier, self.directory, clock, self.crew, control, self.rosters, self.keeper,
-            self.index,
+            self.index, spread=self._spread_kept, least_tokens=settings.least_kept_tokens,
+        )
+        self.relay = Relay(
+            self.identity, startup.area, self.courier, self.directory, clock, self.loads, self.gatherer.take_note
         )
         commander = CoreCommander(self.keeper, self.courier, chance)
         self.recorder = RosterRecorder(self.rosters, self.keeper, commander, clock)
@@ -102,7 +107,8 @@
     def start(self) -> None:
         for work in (
             self.directory.run(), self.keeper.run(), self.listener.run(), self.rosters.run(),
-            self.recorder.run(), self.gatherer.run(), self.roll_out.run(), self._tell_use(), self._sweep(),
+            self.recorder.run(), self.gatherer.run(), self.roll_out.run(), self._tell_use(), self.relay.run(),
+            self._sweep(),
         ):
             self.crew.start(work)
         LOGGER.info("lathe: Node %s listens on %s.", self.identity[:8], self.startup.address)
@@ -141,12 +147,17 @@
     def _take_use(self, identity: str, address: str, note: UseNote) -> None:
         self.loads.take(identity, note)
 
+    def _spread_kept(self, note: KeptNote) -> bool:
+        return self.relay.spread_kept(note)
+
     async def _tell_use(self) -> None:
         """What this node has at workers, to all nodes, when it changed and now and then (§8.8)."""
         told_micros = 0
         while True:
             await rest(self.clock, USE_MICROS)
             now_micros = self.clock.now()
+            if self.relay.is_active():
+                continue
             if self.loads.is_changed or (self.loads.own and now_micros - told_micros > USE_REPEAT_MICROS):
                 told_micros = now_micros
                 addresses = [r.address for r in self.directory.members("lathe")]
--- a/src/pearhead/lathe/kept_gatherer.py
+++ b/src/pearhead/lathe/kept_gatherer.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -20,7 +20,7 @@
 from pearhead.lathe.core_commander import ViewSource
 from pearhead.lathe.rendezvous import rank_of
 from pearhead.lathe.roster import Roster
-from pearhead.lathe.worker_control import KeptEvents, WorkerControl
+from pearhead.lathe.worker_control import KeptEvent, KeptEvents, WorkerControl
 
 LOGGER = picologging.getLogger("pearhead")
 ROUND_MICROS = 200 * MILLI
@@ -37,6 +37,8 @@
     def take(self, note: KeptNote) -> None:
         """A span of one life's events; `tokens` is what is kept now. With `whole` nothing before it counts."""
 
+    def holds(self, worker: str, salt: str, part: str) -> bool: ...
+
 
 class RosterHolder(Protocol):
     @property
@@ -120,7 +122,8 @@
     def __init__(
         self, identity: str, courier: Courier, directory: Directory, clock: Clock, crew: Crew,
         control: WorkerControl, rosters: RosterHolder, keeper: ViewSource, sink: KeptSink,
-        pause_micros: int = PAUSE_MICROS,
+        pause_micros: int = PAUSE_MICROS, spread: Callable[[KeptNote], bool] | None = None,
+        least_tokens: int = 0,
     ) -> None:
         self.identity = identity
         self.courier = courier
@@ -132,6 +135,8 @@
         self.keeper = keeper
         self.sink = sink
         self.pause_micros = pause_micros
+        self.spread = spread
+        self.least_tokens = least_tokens
         self.cursors: dict[str, _Cursor] = {}
         self.told_notes: dict[str, KeptNote] = {}
         self.polls: dict[str, asyncio.Task[None]] = {}
@@ -208,10 +213,13 @@
         note = KeptNote(
             worker=name, life=given.life, from_sequence=from_sequence, sequence=given.next_sequence, whole=is_whole,
             part=last_words(
-                KeptPart(salt=e.salt, part=e.part, tokens=e.tokens, line=e.line) for e in given.events if e.salt
+                KeptPart(salt=e.salt, part=e.part, tokens=e.tokens, line=e.line)
+                for e in given.events if e.salt and self._is_worth_telling(name, e)
             ),
         )
         self.sink.take(note)
+        if self.spread is not None and self.spread(pack_note(note)):
+            return
         addresses = [r.address for r in self.directory.members("lathe")]
         packed, joined = pack_note(note), join_notes(self.told_notes.get(name), note)
         self.told_notes[name] = note
@@ -223,6 +231,14 @@
         for address in addresses:
             self.courier.tell(address, "kept_note", packed)
 
+    def _is_worth_telling(self, name: str, event: KeptEvent) -> bool:
+        """Short parts are read again sooner than anyone hears of them; what was told is also told to be gone."""
+        return event.tokens >= self.least_tokens or self.sink.holds(name, event.salt, event.part)
+
+    def take_note(self, identity: str, address: str, note: KeptNote) -> None:
+        """From another node, directly or by a relay (§3.6)."""
+        self._take_note(identity, address, note)
+
     def _take_note(self, identity: str, address: str, note: KeptNote) -> None:
         held = self.cursors.get(note.worker, START)
         is_late = held.life == note.life and note.sequence < held.sequence
--- a/src/pearhead/lathe/kept_index.py
+++ b/src/pearhead/lathe/kept_index.py
@@ -60,6 +60,9 @@
                 break
         return total
 
+    def holds(self, worker: str, salt: str, part: str) -> bool:
+        return (salt, part) in self.parts.get(worker, ())
+
     def keepers_of(self, salt: str, part: str) -> frozenset[str]:
         return frozenset(self.keepers.get((salt, part), ()))
 
--- /dev/null
+++ b/src/pearhead/lathe/relay.py
@@ -0,0 +1,183 @@
+"""Relay (§3.6): nodes of a large fleet tell one another by way of one node of each zone, not each to each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.directory import Directory
+from pearhead.awl.wire_pb2 import KeptNote, Record, RelayNote, UseNote, WorkerUse
+from pearhead.lathe.load_book import LoadBook
+from pearhead.lathe.rendezvous import score_of
+
+PERIOD_MICROS = 200 * MILLI
+SILENCE_MICROS = 900 * MILLI
+SHUN_MICROS = 4 * SECOND
+FRESH_MICROS = 1_500 * MILLI
+DIRECT_LIMIT = 16
+DATAGRAM_ROOM = 1_100
+KEPT_LIMIT = 2_000
+FLEET = "fleet"
+
+
+@dataclass(frozen=True)
+class _Told:
+    note: UseNote
+    until_micros: int
+
+
+class Relay:
+    """Takes part once the fleet has more than `direct_limit` nodes; below, nodes tell one another directly.
+
+    The relay of a zone is the first of its nodes by rendezvous that is not silent. Each node goes by its own view, and
+    whoever is sent a node's word relays it, so nobody is chosen and a relay that dies is missed for under a second.
+    """
+
+    def __init__(
+        self, identity: str, zone: str, courier: Courier, directory: Directory, clock: Clock, loads: LoadBook,
+        take_kept: Callable[[str, str, KeptNote], None], direct_limit: int = DIRECT_LIMIT,
+    ) -> None:
+        self.identity = identity
+        self.zone = zone
+        self.courier = courier
+        self.directory = directory
+        self.clock = clock
+        self.loads = loads
+        self.take_kept = take_kept
+        self.direct_limit = direct_limit
+        self.shunned: dict[str, int] = {}
+        self.chosen: dict[str, tuple[str, int]] = {}
+        self.members: dict[str, _Told] = {}
+        self.zones: dict[str, _Told] = {}
+        self.own_kept: list[KeptNote] = []
+        self.zone_kept: list[KeptNote] = []
+        self.far_kept: list[KeptNote] = []
+        self.own_told = UseNote()
+        courier.on_tell("relay_note", self._take)
+
+    def is_active(self) -> bool:
+        return len(self.directory.members("lathe")) >= self.direct_limit
+
+    def spread_kept(self, note: KeptNote) -> bool:
+        """Whether it goes this way; otherwise its gatherer tells all nodes itself."""
+        if not self.is_active():
+            return False
+        self.own_kept.append(note)
+        del self.own_kept[:-KEPT_LIMIT]
+        return True
+
+    async def run(self) -> None:
+        while True:
+            await rest(self.clock, PERIOD_MICROS)
+            if self.is_active():
+                self._work_once()
+
+    # ---- telling ---------------------------------------------------------------------------------
+
+    def _work_once(self) -> None:
+        by_zone: dict[str, list[Record]] = {}
+        for record in self.directory.members("lathe"):
+            by_zone.setdefault(record.area, []).append(record)
+        own_relay = self._relay_of(self.zone, by_zone.get(self.zone, []))
+        self.own_told = self.loads.note()
+        if own_relay is not None:
+            self._send([own_relay], RelayNote(hop=0, zone=self.zone, use=self.own_told, kept=self.own_kept))
+            self.zone_kept, self.own_kept = self.zone_kept + (self.own_kept if self.members else []), []
+        else:
+            self.zone_kept, self.own_kept = self.zone_kept + self.own_kept, []
+        now_micros = self.clock.now()
+        self.members = {n: told for n, told in self.members.items() if told.until_micros > now_micros}
+        if own_relay is None or self.members:
+            self._relay_once(by_zone, includes_own=own_relay is None)
+
+    def _relay_once(self, by_zone: dict[str, list[Record]], includes_own: bool) -> None:
+        now_micros = self.clock.now()
+        notes = [told.note for told in self.members.values()] + ([self.own_told] if includes_own else [])
+        zone_sum = sum_notes(notes, now_micros)
+        far = []
+        for zone, records in by_zone.items():
+            if zone != self.zone and (relay := self._relay_of(zone, records)) is not None:
+                far.append(relay)
+        self._send(far, RelayNote(hop=1, zone=self.zone, use=zone_sum, kept=self.zone_kept))
+        self.zones = {z: told for z, told in self.zones.items() if told.until_micros > now_micros}
+        fleet_sum = sum_notes([zone_sum, *(told.note for told in self.zones.values())], now_micros)
+        kept = [*self.zone_kept, *self.far_kept]
+        self.zone_kept, self.far_kept = [], []
+        self._send(by_zone.get(self.zone, []), RelayNote(hop=2, zone=self.zone, use=fleet_sum, kept=kept))
+        if includes_own:
+            self._take_fleet(fleet_sum)
+
+    def _send(self, records: list[Record], note: RelayNote) -> None:
+        addresses = [record.address for record in records]
+        if not addresses:
+            return
+        if note.ByteSize() <= DATAGRAM_ROOM:
+            self.courier.cast(addresses, "relay_note", note)
+            return
+        for address in addresses:
+            self.courier.tell(address, "relay_note", note)
+
+    def _relay_of(self, zone: str, records: list[Record]) -> Record | None:
+        """The zone's relay as this node sees it; None if that is itself. One that is silent is passed over."""
+        now_micros = self.clock.now()
+        identity, heard_micros = self.chosen.get(zone, ("", 0))
+        if identity and identity != self.identity and now_micros - heard_micros > SILENCE_MICROS:
+            self.shunned[identity] = now_micros + SHUN_MICROS
+        candidates = [r for r in records if self.shunned.get(r.identity, 0) <= now_micros] or records
+        subject = f"relay/{zone}"
+        best = max(candidates, key=lambda r: score_of(r.identity, subject), default=None)
+        is_self = zone == self.zone and (
+            best is None or score_of(self.identity, subject) > score_of(best.identity, subject)
+        )
+        chosen = self.identity if is_self else best.identity if best is not None else ""
+        if chosen != identity:
+            self.chosen[zone] = (chosen, now_micros)
+        return None if is_self else best
+
+    # ---- hearing ---------------------------------------------------------------------------------
+
+    def _take(self, identity: str, address: str, note: RelayNote) -> None:
+        now_micros = self.clock.now()
+        self.shunned.pop(identity, None)
+        chosen, _ = self.chosen.get(note.zone, ("", 0))
+        if note.hop and identity == chosen:
+            self.chosen[note.zone] = (identity, now_micros)
+        if note.hop == 0:
+            self.members[identity] = _Told(note.use, now_micros + FRESH_MICROS)
+            self.zone_kept.extend(note.kept)
+        elif note.hop == 1:
+            self.zones[note.zone] = _Told(note.use, now_micros + FRESH_MICROS)
+            self.far_kept.extend(note.kept)
+        elif identity == chosen:
+            self._take_fleet(note.use)
+        for kept in note.kept:
+            self.take_kept(identity, address, kept)
+
+    def _take_fleet(self, fleet_sum: UseNote) -> None:
+        """All nodes' use together, less what this node told itself: its own is known exactly."""
+        own = {use.worker: use for use in self.own_told.use}
+        others = UseNote(serial=self.clock.now())
+        for use in fleet_sum.use:
+            mine = own.get(use.worker)
+            others.use.append(use if mine is None else WorkerUse(
+                worker=use.worker, running=max(0, use.running - mine.running),
+                waiting_tokens=max(0, use.waiting_tokens - mine.waiting_tokens),
+                held_tokens=max(0, use.held_tokens - mine.held_tokens),
+            ))
+        self.loads.take(FLEET, others)
+
+
+def sum_notes(notes: list[UseNote], serial: int) -> UseNote:
+    sums: dict[str, list[int]] = {}
+    for note in notes:
+        for use in note.use:
+            held = sums.setdefault(use.worker, [0, 0, 0])
+            held[0] += use.running
+            held[1] += use.waiting_tokens
+            held[2] += use.held_tokens
+    return UseNote(serial=serial, use=[
+        WorkerUse(worker=worker, running=running, waiting_tokens=max(0, waiting), held_tokens=max(0, held))
+        for worker, (running, waiting, held) in sums.items()
+    ])
--- a/src/pearhead/lathe/rendezvous.py
+++ b/src/pearhead/lathe/rendezvous.py
@@ -4,8 +4,10 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
 
 
+@lru_cache(maxsize=65_536)
 def score_of(identity: str, subject: str) -> bytes:
     """Rendezvous: the highest score goes first, and a node that goes changes nobody else's order."""
     return hashlib.blake2b(f"{identity}/{subject}".encode(), digest_size=8).digest()
--- a/src/pearhead/lathe/term.py
+++ b/src/pearhead/lathe/term.py
@@ -16,8 +16,9 @@
 
 LOGGER = picologging.getLogger("pearhead")
 ROUND_MICROS = 300 * MILLI
+MANY_NODES = 16
 RESULT_MICROS = 800 * MILLI
-RELAY_AFTER_MICROS = 700 * MILLI
+RELAY_AFTER_MICROS = 1_000 * MILLI
 RELAY_COUNT = 2
 COME_BACK_LIMIT_MICROS = 12 * SECOND
 NEVER = -1
@@ -75,7 +76,9 @@
             self.crew.start(self._ask_round())
             if self.clock.now() - self.currentAt > RELAY_AFTER_MICROS:
                 self.crew.start(self._ask_colleagues())
-            await rest(self.clock, ROUND_MICROS)
+            # Many nodes ask half as often: the cores answer each, and the bound leaves room (§5.3).
+            isMany = len(self.directory.members("lathe")) > MANY_NODES
+            await rest(self.clock, 2 * ROUND_MICROS if isMany else ROUND_MICROS)
 
     async def _ask_round(self) -> None:
         """Asks the cores what the last visible index in their logs is; any majority tells (§5.3)."""
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,143 @@
+"""Relay: what a large fleet's nodes know of one another, at what price, and how soon after a relay is lost."""
+
+from __future__ import annotations
+
+import unittest
+
+from google.protobuf.message import Message
+
+from pearhead.awl.bench import Bench
+from pearhead.awl.courier import Courier
+from pearhead.awl.directory import Directory
+from pearhead.awl.wire_pb2 import KeptNote, Record, RelayNote
+from pearhead.lathe.load_book import LoadBook
+from pearhead.lathe.relay import PERIOD_MICROS, Relay
+
+ZONES = ("a", "b", "c")
+
+
+class FakeDirectory:
+    def __init__(self, own: str, records: list[Record]) -> None:
+        self.own = own
+        self.records = records
+
+    def members(self, role: str | None = None) -> list[Record]:
+        return [r for r in self.records if r.identity != self.own]
+
+
+class FakeCourier:
+    """Hands each note to its target in the next period; counts messages and bytes."""
+
+    def __init__(self, fleet: Fleet, own: str) -> None:
+        self.fleet = fleet
+        self.own = own
+
+    def on_tell(self, body_name: str, handler: object) -> None:
+        return None
+
+    def cast(self, addresses: list[str], body_name: str, body: Message) -> None:
+        for address in addresses:
+            self.tell(address, body_name, body)
+
+    def tell(self, address: str, body_name: str, body: Message) -> None:
+        assert isinstance(body, RelayNote)
+        note = RelayNote()
+        note.CopyFrom(body)
+        self.fleet.queue.append((self.own, address, note))
+
+
+class Fleet:
+    def __init__(self, size: int) -> None:
+        self.bench = Bench()
+        self.records = [
+            Record(identity=f"n{n}", address=f"n{n}", role="lathe", area=ZONES[n % len(ZONES)]) for n in range(size)
+        ]
+        self.queue: list[tuple[str, str, RelayNote]] = []
+        self.kept: dict[str, list[int]] = {r.identity: [] for r in self.records}
+        self.loads = {r.identity: LoadBook(self.bench) for r in self.records}
+        self.dead: set[str] = set()
+        self.messages = 0
+        self.bytes = 0
+        self.relays = {r.identity: self._relay(r) for r in self.records}
+
+    def _relay(self, record: Record) -> Relay:
+        courier: Courier = FakeCourier(self, record.identity)  # type: ignore[assignment]
+        directory: Directory = FakeDirectory(record.identity, self.records)  # type: ignore[assignment]
+
+        def take(identity: str, address: str, note: KeptNote) -> None:
+            self.kept[record.identity].append(note.sequence)
+
+        return Relay(record.identity, record.area, courier, directory, self.bench, self.loads[record.identity], take)
+
+    def play(self, periods: int) -> None:
+        for _ in range(periods):
+            self.bench.nowMicros += PERIOD_MICROS
+            for name, relay in self.relays.items():
+                if name not in self.dead and relay.is_active():
+                    relay._work_once()
+            sent, self.queue = self.queue, []
+            for own, address, note in sent:
+                self.messages += 1
+                self.bytes += note.ByteSize()
+                if address not in self.dead:
+                    self.relays[address]._take(own, own, note)
+
+    def seen_running(self, name: str) -> int:
+        return self.loads[name].use_of("w").running
+
+
+class RelayTest(unittest.TestCase):
+    def test_every_node_knows_the_whole_fleets_use_less_its_own_counted_once(self) -> None:
+        fleet = Fleet(63)
+        for name, loads in fleet.loads.items():
+            for _ in range(int(name[1:]) % 3):
+                loads.begin("w", 10, 10)
+        total = sum(int(name[1:]) % 3 for name in fleet.loads)
+        fleet.play(4)
+        self.assertEqual({fleet.seen_running(name) for name in fleet.loads}, {total})
+        fleet.loads["n1"].end("w", 10, 10)
+        fleet.play(3)
+        self.assertEqual({fleet.seen_running(name) for name in fleet.loads}, {total - 1})
+
+    def test_kept_parts_reach_every_node_once(self) -> None:
+        fleet = Fleet(30)
+        fleet.play(2)
+        self.assertTrue(fleet.relays["n7"].spread_kept(KeptNote(worker="w", sequence=5)))
+        fleet.play(4)
+        heard = {name: notes for name, notes in fleet.kept.items() if name != "n7"}
+        self.assertEqual({tuple(set(notes)) for notes in heard.values()}, {(5,)})
+        self.assertLessEqual(sum(len(notes) for notes in heard.values()), len(heard) + 3)
+
+    def test_a_lost_relay_is_passed_over_within_a_second_and_a_half(self) -> None:
+        fleet = Fleet(30)
+        fleet.loads["n0"].begin("w", 1, 1)
+        fleet.play(5)
+        relay = fleet.relays["n0"].chosen["a"][0]
+        fleet.dead.add(relay)
+        teller = next(r.identity for r in fleet.records if r.area == "a" and r.identity not in (relay, "n0"))
+        fleet.play(8)  # 1.6 s
+        fleet.loads[teller].begin("w", 1, 1)
+        fleet.play(4)
+        expected = 1 + (relay != "n0")
+        alive = [name for name in fleet.loads if name not in fleet.dead]
+        self.assertEqual({fleet.seen_running(name) for name in alive}, {expected})
+
+    def test_messages_grow_with_the_nodes_and_not_with_their_square(self) -> None:
+        counts = {}
+        for size in (30, 60, 120):
+            fleet = Fleet(size)
+            for loads in fleet.loads.values():
+                loads.begin("w", 10, 10)
+            fleet.play(4)
+            fleet.messages = fleet.bytes = 0
+            fleet.play(10)
+            counts[size] = fleet.messages / 10
+        self.assertLess(counts[120], 2.2 * counts[60])
+        self.assertLess(counts[60], 2.2 * counts[30])
+        self.assertLessEqual(counts[120], 2 * 120 + 9)
+
+    def test_a_small_fleet_tells_directly(self) -> None:
+        fleet = Fleet(9)
+        fleet.play(2)
+        self.assertEqual(fleet.messages, 0)
+        self.assertFalse(fleet.relays["n0"].spread_kept(KeptNote()))
--- a/tests/workerfleet.py
+++ b/tests/workerfleet.py
@@ -318,6 +318,9 @@
             parts.update({(p.salt, p.part): p.tokens for p in note.part})
         return {key: tokens for key, tokens in parts.items() if tokens}
 
+    def holds(self, worker: str, salt: str, part: str) -> bool:
+        return False
+
 
 class FleetNode:
     def __init__(self, fleet: WorkerFleet, name: str) -> None:
