--- a/src/pearhead/lathe/gateway.py
+++ b/src/pearhead/lathe/gateway.py
@@ -32,13 +32,14 @@
 from pearhead.lathe.upstream import UpstreamPool
 from pearhead.lathe.version_book import VersionBook
 from pearhead.lathe.weights_clock import WeightsClock
-from pearhead.lathe.worker_control import WorkerControl
+from pearhead.lathe.worker_control import Backend, WorkerControl
 from pearhead.rasp.listener import Listener
 
 LOGGER = picologging.getLogger("pearhead")
 USE_MICROS = 50 * MILLI
 USE_REPEAT_MICROS = 600 * MILLI
 SWEEP_MICROS = SECOND
+SAMPLE_SIZE = 3
 
 
 @dataclass(frozen=True)
@@ -61,6 +62,7 @@
         self.startup = startup
         self.settings = settings
         self.clock = clock
+        self.chance = chance
         self.crew = Crew("lathe")
         self.identity = chance.randbytes(12).hex()
         self.courier = Courier(self.identity, startup.address, net, clock)
@@ -95,7 +97,7 @@
         self.pool = UpstreamPool(clock)
         self.placer = Placer(
             clock, startup.area, lambda: self.rosters.roster, self.versions, self.index, self.loads,
-            PartSalt(self.listener), self.weights.may_use,
+            PartSalt(self.listener), self.weights.may_use, self._sample,
         )
         budget = FleetBudget(clock, settings.retry_ratio, settings.retry_slack, settings.retry_window_micros)
         self.gate = Gate(
@@ -147,6 +149,12 @@
     def _take_use(self, identity: str, address: str, note: UseNote) -> None:
         self.loads.take(identity, note)
 
+    def _sample(self, backends: list[Backend]) -> list[Backend]:
+        """Many nodes with the same late word of all would all send to the same worker: each looks at a few (§8.8)."""
+        if not self.relay.is_active() or len(backends) <= SAMPLE_SIZE:
+            return backends
+        return self.chance.sample(backends, SAMPLE_SIZE)
+
     def _spread_kept(self, note: KeptNote) -> bool:
         return self.relay.spread_kept(note)
 
--- a/src/pearhead/lathe/placer.py
+++ b/src/pearhead/lathe/placer.py
@@ -51,6 +51,7 @@
     def __init__(
         self, clock: Clock, zone: str, roster: Callable[[], Roster], versions: VersionBook, index: KeptIndex,
         loads: LoadBook, salts: PartSalt, may_use: Callable[[View, str, int], bool],
+        sample: Callable[[list[Backend]], list[Backend]] = list,
     ) -> None:
         self.clock = clock
         self.zone = zone
@@ -60,6 +61,7 @@
         self.loads = loads
         self.salts = salts
         self.may_use = may_use
+        self.sample = sample
         self.expected: dict[tuple[str, str, str], int] = {}
 
     def choose(
@@ -115,6 +117,8 @@
             return None
         if not line:
             return self._choose_plain(candidates, service)
+        if request.prompt_tokens() < LONG_TOKENS:
+            candidates = self.sample(candidates)
         salts = {
             version: self.salts.salt(view, tenant, line, version, request.parts)
             for version in {self.versions.version_of(b.name, line) for b in candidates} if version is not None
--- a/src/pearhead/lathe/relay.py
+++ b/src/pearhead/lathe/relay.py
@@ -12,7 +12,7 @@
 from pearhead.lathe.load_book import LoadBook
 from pearhead.lathe.rendezvous import score_of
 
-PERIOD_MICROS = 200 * MILLI
+PERIOD_MICROS = 100 * MILLI
 SILENCE_MICROS = 900 * MILLI
 SHUN_MICROS = 4 * SECOND
 FRESH_MICROS = 1_500 * MILLI
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -115,7 +115,7 @@
         relay = fleet.relays["n0"].chosen["a"][0]
         fleet.dead.add(relay)
         teller = next(r.identity for r in fleet.records if r.area == "a" and r.identity not in (relay, "n0"))
-        fleet.play(8)  # 1.6 s
+        fleet.play(14)  # 1.4 s
         fleet.loads[teller].begin("w", 1, 1)
         fleet.play(4)
         expected = 1 + (relay != "n0")
