--- a/src/pearhead/jig/site/launcher.py
+++ b/src/pearhead/jig/site/launcher.py
@@ -136,7 +136,11 @@
 
     def put(self, config: dict[str, Any]) -> int:
         """Sends a whole configuration on top of the one that this launcher knows of. Returns its status."""
-        status = asyncio.run(self.operator().put(config, self.plan["config"]["Revision"]))
+        return self.put_on(config, self.plan["config"]["Revision"])
+
+    def put_on(self, config: dict[str, Any], base: int, is_valid: bool = True) -> int:
+        """Sends a whole configuration on top of any number. `is_valid`: what the page says of it."""
+        status = asyncio.run(self.operator().put(config, base, is_valid=is_valid))
         self._hold(config, status)
         return status
 
@@ -172,6 +176,12 @@
 
         self.wait_until(lambda: asyncio.run(ask_all()), "every front node ready")
 
+    def version_of(self, name: str) -> int:
+        """The version of the weights at one emulated worker; 0 if it does not say."""
+        answer = asyncio.run(ask(self.plan["processes"][name]["httpAddress"], "GET", "/v1/report"))
+        models = answer.fields().get("Models", []) if answer is not None else []
+        return int(models[0]["Revision"]) if models else 0
+
     def command_worker(self, name: str, faults: dict[str, Any]) -> None:
         """Faults of one emulated worker, by command."""
         address = self.plan["processes"][name]["httpAddress"]
--- /dev/null
+++ b/tests/test_site_fleet.py
@@ -0,0 +1,118 @@
+"""The programs behind platform/ as real processes inside the emulated platform: a small fleet, and the rules' names."""
+
+from __future__ import annotations
+
+import copy
+import random
+import shutil
+import signal
+import tempfile
+import threading
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from pearhead.jig.deployment import ACADEMY
+from pearhead.jig.site.checkers import find_breaches
+from pearhead.jig.site.client import CallReport
+from pearhead.jig.site.launcher import ROOT, SiteLauncher
+from pearhead.jig.site.plan import SiteSize
+
+
+@unittest.skipUnless((ROOT / "platform" / "run_lathe.py").exists(), "the platform's programs are not here")
+class SmallSiteTest(unittest.TestCase):
+    """One site for the whole story, as starting it is the costly part."""
+
+    folder: str
+    launcher: SiteLauncher
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.folder = tempfile.mkdtemp()
+        cls.addClassCleanup(shutil.rmtree, cls.folder)
+        cls.launcher = SiteLauncher(cls.folder)
+        cls.launcher.make_site(ACADEMY, SiteSize(cores=3, fronts=3, engines=3), seed=7)
+        cls.addClassCleanup(cls.launcher.down)
+        cls.launcher.up()
+        cls.launcher.set_up()
+        cls.launcher.wait_ready()
+
+    def call_beside(self, request_count: int, seed: int, work: Callable[[], None] = lambda: None) -> CallReport:
+        held: list[CallReport] = []
+        caller = threading.Thread(target=lambda: held.append(self.launcher.call(request_count, 6, seed)))
+        caller.start()
+        work()
+        caller.join()
+        self.assertEqual(held[0].faults, [])
+        return held[0]
+
+    def call_until_most(self, request_count: int, seed: int) -> CallReport:
+        """Batches until nine tenths of one are done: a slow machine may refuse some."""
+        report = CallReport()
+        for batch in range(10):
+            report = self.call_beside(request_count, seed + batch)
+            if report.outcomes["done"] >= 0.9 * request_count:
+                return report
+        self.fail(f"no batch was served: {report.outcomes}")
+
+    def change_config(self) -> None:
+        """A route goes, another comes, by name; then a whole configuration on top of it; then one on an old base."""
+        launcher = self.launcher
+        held = launcher.plan["config"]
+        added = {**held["RouteTable"][0], "Name": "r-added", "Prefix": "/added/"}
+        patch = {"Revision": held["Revision"] + 2, "Upsert": {"RouteTable": [added]}}
+        self.assertEqual(launcher.patch(patch), 200)
+        whole = copy.deepcopy(launcher.plan["config"])
+        whole["Revision"] += 5
+        whole["Tenants"][0]["Keys"] = whole["Tenants"][0]["Keys"] + ["k" * 20]
+        self.assertEqual(launcher.put(whole), 200)
+        late = launcher.put_on({**whole, "Revision": whole["Revision"] + 1}, held["Revision"])
+        self.assertEqual(late, 412)
+        bad = {**whole, "Revision": whole["Revision"] + 1}
+        bad["RouteTable"] = [{**bad["RouteTable"][0], "Service": "nobody"}]
+        self.assertEqual(launcher.put_on(bad, whole["Revision"], is_valid=False) // 100, 4)
+
+    def versions_of(self) -> set[int]:
+        return {v for v in (self.launcher.version_of(m.name) for m in self.launcher.site.of("engine"))}
+
+    def test_requests_weights_configurations_and_kills(self) -> None:
+        launcher = self.launcher
+        self.call_until_most(60, 100)
+
+        self.assertEqual(launcher.name_version(2) // 100, 2)
+        self.call_beside(60, 200)
+        launcher.wait_until(lambda: self.versions_of() == {2}, "every worker on the new weights")
+
+        self.change_config()
+        self.call_until_most(40, 300)
+
+        self.call_beside(90, 400, lambda: self.kill("core-1"))
+        self.call_beside(90, 500, lambda: self.kill("front-1"))
+        launcher.command_worker("engine-2", {"cut": 0.1, "lost": 0.1, "late": 0.1, "extra": 0.1, "fails": 0.1})
+        self.call_beside(90, 600, lambda: self.kill("engine-1"))
+        launcher.command_worker("engine-2", dict.fromkeys(("cut", "lost", "late", "extra", "fails"), 0.0))
+        for name in ("core-1", "front-1", "engine-1"):
+            launcher.start(name)
+        launcher.wait_ready()
+        self.call_until_most(60, 700)
+        self.assertEqual(launcher.read_config()["Revision"], launcher.plan["config"]["Revision"])
+        ledger = launcher.ledger()
+        self.assertEqual([b.line() for b in find_breaches(ledger)], [])
+        self.assertGreater(len(ledger.uses), 0, "kept parts were used")
+        self.assertGreater(len(ledger.orders), 0)
+
+    def kill(self, name: str) -> None:
+        self.launcher.send_signal(name, signal.SIGKILL)
+        self.launcher.wait_until(lambda: not self.launcher.is_alive(name), f"{name} is gone")
+
+
+class PlanTest(unittest.TestCase):
+    def test_a_site_without_its_programs_says_so(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            launcher = SiteLauncher(folder)
+            launcher.make_site(ACADEMY, SiteSize(1, 1, 1), random.Random(1).randrange(9))
+            held: dict[str, Any] = SiteLauncher(folder).plan
+            self.assertEqual(held["interface"], "platform")
+            self.assertEqual(list(held["processes"]), ["cloud", "store", "engine-1", "core-1", "front-1"])
+            self.assertTrue(Path(folder, "fleet.json").exists())
