--- a/src/pearhead/jig/site/launcher.py
+++ b/src/pearhead/jig/site/launcher.py
@@ -167,8 +167,8 @@
     # ---- waiting and calling -----------------------------------------------------------------------
 
     def wait_ready(self) -> None:
-        """Ready: every front node that lives says so."""
-        fronts = [m for m in self.site.of("lathe") if self.is_alive(m.name)]
+        """Ready: every front node says so."""
+        fronts = self.site.of("lathe")
 
         async def ask_all() -> bool:
             answers = [await ask(f"{m.ip}:{READINESS_PORT}", "GET", "/v1/readiness") for m in fronts]
