--- a/src/pearhead/jig/site/enginefront.py
+++ b/src/pearhead/jig/site/enginefront.py
@@ -112,6 +112,7 @@
     """Any method on any path that is none of the worker's own: a request of a client."""
 
     ticket = 0
+    is_last = False
 
     async def serve(self) -> None:
         request_id, status = self.header("X-Request-Id"), 0
@@ -203,7 +204,10 @@
         self.set_header("X-Request-Id", wanted.request_id)
         self.set_header("X-Answer-Seal", Seal(digest, begun.run, begun.pieces).text())
         self.set_header("X-Weight-Versions", str(begun.version))
-        if not self.site.faults.forgets_idle:
+        self.is_last = self.site.is_draining or self.site.chance.random() < CLOSE_SHARE
+        if self.is_last:
+            self.set_header("Connection", "close")
+        elif not self.site.faults.forgets_idle:
             self.set_header("Keep-Alive", f"timeout={IDLE_SECONDS}")
 
     async def _fail(self, fault: str) -> bool:
@@ -218,9 +222,6 @@
 
     async def _end(self, wanted: EngineRequest, fault: str) -> None:
         stream = self.stream
-        is_last = self.site.is_draining or self.site.chance.random() < CLOSE_SHARE
-        if is_last and not self._headers_written:
-            self.set_header("Connection", "close")
         await self.finish()
         if fault in ("extra", "late") and not stream.closed():
             if fault == "late":
@@ -230,7 +231,7 @@
                     f"Content-Type: text/event-stream\r\nContent-Length: {len(body)}\r\n\r\n")
             if not stream.closed():
                 await stream.write(head.encode() + body)
-        if is_last:
+        if self.is_last:
             stream.close()
         elif self.site.faults.forgets_idle:
             self.site.clock.after(FORGET_MICROS, stream.close)
--- a/src/pearhead/jig/site/launcher.py
+++ b/src/pearhead/jig/site/launcher.py
@@ -9,6 +9,8 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -124,13 +126,18 @@
 
     # ---- the operator ------------------------------------------------------------------------------
 
-    def operator(self) -> SiteOperator:
+    @contextmanager
+    def operator(self) -> Iterator[SiteOperator]:
         sink = LedgerFile(self.ledger_path / "operator.jsonl")
-        return SiteOperator(self.site.addresses("anvil", CONTROL_PORT), self.clock, sink)
+        try:
+            yield SiteOperator(self.site.addresses("anvil", CONTROL_PORT), self.clock, sink)
+        finally:
+            sink.close()
 
     def set_up(self) -> None:
         """Sends the first configuration until it is taken."""
-        status = asyncio.run(self.operator().put(self.plan["config"], 0, 60_000_000))
+        with self.operator() as operator:
+            status = asyncio.run(operator.put(self.plan["config"], 0, 60_000_000))
         if status not in (200, 412):
             raise RuntimeError(f"the first configuration was not taken: {status}")
 
@@ -140,24 +147,28 @@
 
     def put_on(self, config: dict[str, Any], base: int, is_valid: bool = True) -> int:
         """Sends a whole configuration on top of any number. `is_valid`: what the page says of it."""
-        status = asyncio.run(self.operator().put(config, base, is_valid=is_valid))
+        with self.operator() as operator:
+            status = asyncio.run(operator.put(config, base, is_valid=is_valid))
         self._hold(config, status)
         return status
 
     def patch(self, patch: dict[str, Any]) -> int:
         held = self.plan["config"]
-        status = asyncio.run(self.operator().patch(patch, held))
+        with self.operator() as operator:
+            status = asyncio.run(operator.patch(patch, held))
         self._hold(apply_patch(held, patch), status)
         return status
 
     def read_config(self) -> dict[str, Any]:
-        return asyncio.run(self.operator().read())
+        with self.operator() as operator:
+            return asyncio.run(operator.read())
 
     def name_version(self, version: int) -> int:
         site = self.site
         cloud = site.addresses("cloud", CLOUD_PORT)[0]
         workers = site.addresses("engine", WORKER_PORT)
-        return asyncio.run(self.operator().name_version(site.model, version, cloud, workers))
+        with self.operator() as operator:
+            return asyncio.run(operator.name_version(site.model, version, cloud, workers))
 
     def _hold(self, config: dict[str, Any], status: int) -> None:
         if status == 200:
@@ -192,7 +203,10 @@
         sink = LedgerFile(self.ledger_path / "clients.jsonl")
         chance = random.Random(f"{seed} {sink.file.tell()}")
         caller = SiteCaller(self.site, self.clock, chance, sink)
-        return asyncio.run(caller.run(request_count, at_once, self.plan["config"]))
+        try:
+            return asyncio.run(caller.run(request_count, at_once, self.plan["config"]))
+        finally:
+            sink.close()
 
     def ledger(self) -> SiteLedger:
         return read_ledger(self.ledger_path)
--- a/tests/test_site_fleet.py
+++ b/tests/test_site_fleet.py
@@ -10,6 +10,7 @@
 import threading
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -101,6 +102,12 @@
         self.assertEqual([b.line() for b in find_breaches(ledger)], [])
         self.assertGreater(len(ledger.uses), 0, "kept parts were used")
         self.assertGreater(len(ledger.orders), 0)
+        # The checkers do see this ledger: a promise that was broken, and a part of another tenant, are told.
+        run = ledger.runs[-1]
+        asked = ledger.try_of()[run.request_id]
+        ledger.take(replace(asked, resumable=False, status=503))
+        ledger.take(replace(ledger.uses[-1], made_version=99))
+        self.assertEqual({b.rule for b in find_breaches(ledger)}, {"REFUSED", "STALE"})
 
     def kill(self, name: str) -> None:
         self.launcher.send_signal(name, signal.SIGKILL)
