Planned stops are judged: DRAIN and LOST, each with its planted breach, and in the story

Ruled out: cuts that the caller's own patience, a kill or a commanded worker explains are not counted.

--- a/src/pearhead/jig/site/checkers.py
+++ b/src/pearhead/jig/site/checkers.py
@@ -24,6 +24,9 @@
 
 @dataclass(frozen=True)
 class SiteBounds:
+    """The figures of the rules. `shown_micros`: how long the list may take to show what a worker tells it.
+    `patience_micros`: how long callers bear silence."""
+
     apply_micros: int = 2_000 * MILLI
     version_micros: int = 8_000 * MILLI
     lease_micros: int = 3_000 * MILLI
@@ -31,6 +34,10 @@
     retry_ratio: float = 0.2
     retry_window_micros: int = 10 * SECOND
     retry_slack: int = 58
+    drain_micros: int = 3_000 * MILLI
+    shown_micros: int = 1_200 * MILLI
+    grace_micros: int = 8 * SECOND
+    patience_micros: int = 2 * SECOND
 
 
 class Checker(Protocol):
@@ -352,9 +359,55 @@
                     break
 
 
+class Drain:
+    """A request reaches a worker long after the list showed that it drains."""
+
+    rule = "DRAIN"
+
+    def find(self, ledger: SiteLedger, bounds: SiteBounds) -> Iterator[str]:
+        for stopped in (t for t in ledger.troubles if t.what == "stopped" and t.program == "engine"):
+            from_at = stopped.at + bounds.shown_micros + bounds.drain_micros
+            next_at = min((t.at for t in ledger.troubles if t.name == stopped.name and t.at > stopped.at),
+                          default=from_at + bounds.grace_micros)
+            is_calm = not any(
+                t.program == "cloud" and stopped.at - bounds.contact_micros <= t.at <= next_at for t in ledger.troubles
+            )
+            for arrival in ledger.arrivals:
+                if (is_calm and arrival.worker == stopped.name and arrival.turned_away != 421
+                        and from_at < arrival.at < next_at):
+                    late_millis = (arrival.at - from_at) // MILLI
+                    yield f"{arrival.request_id} came to {stopped.name} {late_millis} ms after it was to be left"
+
+
+class Lost:
+    """Around a planned stop of its node, in calm times, a request that was read ends without a complete answer."""
+
+    rule = "LOST"
+
+    def find(self, ledger: SiteLedger, bounds: SiteBounds) -> Iterator[str]:
+        for stopped in (t for t in ledger.troubles if t.what == "stopped" and t.program == "lathe"):
+            for asked in ledger.tries:
+                is_around = asked.ended_at >= stopped.at and asked.sent_at <= (
+                    stopped.at + bounds.grace_micros + SECOND
+                )
+                is_silent = asked.ended_at - asked.sent_at >= bounds.patience_micros
+                if asked.node != stopped.name or asked.status or asked.unread or not is_around or is_silent:
+                    continue
+                if not self._is_troubled(ledger, asked, bounds):
+                    yield f"{asked.request_id} was cut by {stopped.name}, which was stopped as planned"
+
+    def _is_troubled(self, ledger: SiteLedger, asked: Try, bounds: SiteBounds) -> bool:
+        from_at = asked.sent_at - bounds.contact_micros
+        return any(
+            from_at <= t.at <= asked.ended_at
+            and (t.what in ("killed", "frozen", "woken", "commanded") or (t.what == "stopped" and t.program != "lathe"))
+            for t in ledger.troubles
+        )
+
+
 CHECKERS: tuple[Checker, ...] = (
     Twice(), Refused(), Unasked(), RouteRule(), Stale(), Wall(), Mixed(), Order(), One(), Version(), Config(), Denied(),
-    Budget(),
+    Budget(), Drain(), Lost(),
 )
 
 
--- a/src/pearhead/jig/site/client.py
+++ b/src/pearhead/jig/site/client.py
@@ -234,6 +234,7 @@
             sent_at, self.clock.now(), request_id, node, request.host, request.path, request.method,
             body_digest(request.body), request.key, request.route, request.kind, request.is_resumable,
             outcome.status, resumed_from, outcome.last_number, outcome.first_at, tuple(outcome.faults),
+            outcome.is_unread,
         ))
         return outcome
 
--- a/src/pearhead/jig/site/enginefront.py
+++ b/src/pearhead/jig/site/enginefront.py
@@ -98,6 +98,14 @@
     def header(self, name: str) -> str:
         return str(self.request.headers.get(name, ""))
 
+    def break_off(self, is_reset: bool) -> None:
+        """Ends the connection in the middle of an answer; there is nothing left to finish."""
+        self._auto_finish = False
+        if is_reset:
+            reset(self.stream)
+        else:
+            self.stream.close()
+
     async def turn_away(self, status: int, is_run: bool = False) -> None:
         self.set_status(status)
         if not is_run:
@@ -134,7 +142,7 @@
         try:
             await self._answer(wanted, outputs)
         except StreamClosedError:
-            pass
+            self._auto_finish = False
         finally:
             self.site.driver.cancel(self.ticket)
 
@@ -179,7 +187,7 @@
                     await self.turn_away(504, is_run=True)
                     return
                 case Broken() | TimedOut():
-                    reset(self.stream)
+                    self.break_off(is_reset=True)
                     return
                 case Begun():
                     if await self._fail(fault):
@@ -189,7 +197,7 @@
                     await self.flush()
                 case PieceOut():
                     if fault == "cut" and pieces_out:
-                        self.stream.close()
+                        self.break_off(is_reset=False)
                         return
                     pieces_out += 1
                     piece = Piece(output.number, run, piece_text(digest, output.number), output.version)
@@ -213,9 +221,9 @@
     async def _fail(self, fault: str) -> bool:
         if fault == "garble":
             await self.stream.write(b"\x00\x7fno answer at all\r\n\r\n")
-            self.stream.close()
+            self.break_off(is_reset=False)
         elif fault == "lost":
-            reset(self.stream)
+            self.break_off(is_reset=True)
         elif fault == "fails":
             await self.turn_away(500, is_run=True)
         return fault in ("garble", "lost", "fails")
--- a/src/pearhead/jig/site/launcher.py
+++ b/src/pearhead/jig/site/launcher.py
@@ -196,6 +196,7 @@
     def command_worker(self, name: str, faults: dict[str, Any]) -> None:
         """Faults of one emulated worker, by command."""
         address = self.plan["processes"][name]["httpAddress"]
+        self._note(name, "commanded")
         asyncio.run(ask(address, "POST", "/site/command", faults))
 
     def call(self, request_count: int, at_once: int, seed: int) -> CallReport:
--- a/src/pearhead/jig/site/ledger.py
+++ b/src/pearhead/jig/site/ledger.py
@@ -98,6 +98,7 @@
     pieces: int = 0
     first_at: int = 0
     faults: tuple[tuple[str, str], ...] = ()
+    unread: bool = False
 
 
 @dataclass(frozen=True)
@@ -132,7 +133,7 @@
 
 @dataclass(frozen=True)
 class Trouble:
-    """The launcher killed, stopped, froze, woke or started a process. `program`: as in the plan."""
+    """The launcher killed, stopped, froze, woke, started or commanded a process. `program`: as in the plan."""
 
     at: int
     name: str
--- a/tests/test_site_checkers.py
+++ b/tests/test_site_checkers.py
@@ -109,6 +109,8 @@
                         ConfigRead(23 * SECOND, 7, {**CONFIG, "Revision": 7, "Tenants": [
                             {"Name": "one", "Keys": ["k9"]}]})]],
     "DENIED": [lambda: [asked(f"x{n}", status=404) for n in range(7)]],
+    "DRAIN": [lambda: [Trouble(5 * SECOND, "w1", "engine", "stopped"), asked("x"), arrived("x")]],
+    "LOST": [lambda: [Trouble(10 * SECOND, "front-1", "lathe", "stopped"), asked("x", status=0)]],
     "BUDGET": [lambda: [arrived("r1", at=12 * SECOND + n, turned_away=503) for n in range(70)]],
 }
 
@@ -135,6 +137,16 @@
             ledger.take(record)
         self.assertEqual(find_breaches(ledger), [])
 
+    def test_what_is_not_lost_and_not_late_at_a_draining_worker(self) -> None:
+        ledger = sound_ledger()
+        for record in (Trouble(10 * SECOND, "front-1", "lathe", "stopped"), asked("x", status=0, unread=True),
+                       asked("y", status=0, node="front-2"), asked("z", status=0, ended_at=20 * SECOND),
+                       Trouble(7 * SECOND, "w1", "engine", "stopped"), Trouble(9 * SECOND, "w1", "engine", "started")):
+            ledger.take(record)
+        self.assertEqual(find_breaches(ledger), [])
+        ledger.take(asked("v", status=0))
+        self.assertEqual(find_breaches(ledger), [], "a worker was stopped within the time of contact")
+
     def test_a_change_that_may_be_in_force_allows_both(self) -> None:
         ledger = sound_ledger()
         changed = {**CONFIG, "Revision": 5, "RouteTable": [route("a", "/a/", "other")]}
--- a/tests/test_site_fleet.py
+++ b/tests/test_site_fleet.py
@@ -77,7 +77,7 @@
     def versions_of(self) -> set[int]:
         return {v for v in (self.launcher.version_of(m.name) for m in self.launcher.site.of("engine"))}
 
-    def test_requests_weights_configurations_and_kills(self) -> None:
+    def test_requests_weights_configurations_kills_and_stops(self) -> None:
         launcher = self.launcher
         self.call_until_most(60, 100)
 
@@ -97,6 +97,10 @@
             launcher.start(name)
         launcher.wait_ready()
         self.call_until_most(60, 700)
+        self.call_beside(150, 800, lambda: launcher.stop("front-2"))
+        launcher.start("front-2")
+        launcher.wait_ready()
+        self.call_beside(240, 900, lambda: launcher.stop("engine-3"))
         self.assertEqual(launcher.read_config()["Revision"], launcher.plan["config"]["Revision"])
         ledger = launcher.ledger()
         self.assertEqual([b.line() for b in find_breaches(ledger)], [])
