The emulated worker gives each block once; its reports show when an order began

Ruled out: the roll-out's own reports and notes, traced through a live site. Conclusion: a fault of the emulation alone.

--- a/src/pearhead/jig/site/engine.py
+++ b/src/pearhead/jig/site/engine.py
@@ -323,11 +323,17 @@
         """Lets time pass up to `now`; what happened, in order."""
         while (moment := self.next_at()) is not None and moment <= now:
             self._happen(moment)
-        if not self.reports or now - self.reports[-1][0] >= self.settings.report_lag_micros // 4:
-            self.reports.append((now, self.state()))
+        self._note_state(now)
         outputs, self.outputs = self.outputs, []
         return outputs
 
+    def _note_state(self, now: int) -> None:
+        """Notes the state for reports: some times in their lag, and whenever an order begins or ends."""
+        state = self.state()
+        is_due = not self.reports or now - self.reports[-1][0] >= self.settings.report_lag_micros // 4
+        if is_due or any(state[n] != self.reports[-1][1][n] for n in ("Saturated", "CallSeq", "Models")):
+            self.reports.append((now, state))
+
     def _happen(self, now: int) -> None:
         if self.step_end_at is not None and self.step_end_at <= now:
             self.step_end_at = None
@@ -395,10 +401,17 @@
         unread = sum(count_blocks(p.tokens) for p in entry.request.parts[len(held):])
         blocks = unread + count_blocks(entry.tail_tokens) + 1
         is_let_in = self.kept.take_blocks(now, blocks)
-        for part in pinned:
-            self.kept.unpin(part)
+        if begun_part is not None:
+            self.kept.unpin(begun_part)
         if not is_let_in:
+            for part in held:
+                self.kept.unpin(part)
             return False
+        entry.stood_on = held
+        entry.position = len(held)
+        for part in held:
+            self._note_use(now, entry, part, part.tokens)
+        self.kept.use(held)
         entry.private_blocks = blocks
         self.queue.remove(entry)
         self.running.append(entry)
@@ -429,28 +442,22 @@
         return self.kept.get((entry.request.salt, entry.request.model, entry.request.parts[position].part))
 
     def _stand_on_kept(self, now: int, entry: _Running) -> None:
-        """Pins what is kept from the start on, and gives back the blocks that were taken for reading it."""
-        held = self._kept_prefix(entry)
-        for part in held:
-            self._use(now, entry, part, part.tokens)
-            entry.private_blocks -= self._give_read_blocks(entry, part.tokens)
-        entry.position = len(held)
-        begun_part = self._begun_part(entry, len(held))
+        """Pins what came to be kept since it was let in, and gives back the blocks that were taken for reading it."""
+        came = self._kept_prefix(entry)[entry.position :]
+        for part in came:
+            self.kept.pin(part)
+            entry.stood_on.append(part)
+            blocks = count_blocks(entry.request.parts[entry.position].tokens)
+            entry.position += 1
+            entry.private_blocks -= blocks
+            self.kept.give_blocks(blocks)
+            self._note_use(now, entry, part, part.tokens)
+        self.kept.use(entry.stood_on)
+        begun_part = self._begun_part(entry, entry.position)
         if begun_part is not None:
             # Kept in part: its beginning is not read again.
             entry.in_part = begun_part.tokens
             self._note_use(now, entry, begun_part, begun_part.tokens)
-        self.kept.use(held)
-
-    def _give_read_blocks(self, entry: _Running, tokens: int) -> int:
-        blocks = min(count_blocks(tokens), entry.private_blocks)
-        self.kept.give_blocks(blocks)
-        return blocks
-
-    def _use(self, now: int, entry: _Running, part: KeptPart, tokens: int) -> None:
-        self.kept.pin(part)
-        entry.stood_on.append(part)
-        self._note_use(now, entry, part, tokens)
 
     def _note_use(self, now: int, entry: _Running, part: KeptPart, tokens: int) -> None:
         self.sink.take(Use(
@@ -536,8 +543,7 @@
     def _keep_read(self, now: int, entry: _Running, need: PartNeed) -> None:
         request = entry.request
         entry.position, entry.in_part = entry.position + 1, 0
-        blocks = min(count_blocks(need.tokens), entry.private_blocks)
-        entry.private_blocks -= blocks
+        entry.private_blocks -= count_blocks(need.tokens)
         made = KeptPart(request.salt, request.model, need.part, need.tokens, self.version, request.tenant)
         kept_part = self.kept.keep(now, made, has_blocks=True)
         if kept_part is not None:
--- a/src/pearhead/jig/site/keptparts.py
+++ b/src/pearhead/jig/site/keptparts.py
@@ -130,6 +130,7 @@
             return held
         if not has_blocks and not self.take_blocks(now, blocks):
             return None
+        held = self.parts.get(part.key)
         if held is not None:
             # The longer one takes its place; the shorter stays only while runs stand on it.
             self.parts.pop(held.key, None)
--- a/tests/test_site_engine.py
+++ b/tests/test_site_engine.py
@@ -181,6 +181,48 @@
         self.assertEqual(self.ledger.runs, [])
 
 
+class MemoryTest(EngineCase):
+    def count_used(self, engine: EngineModel) -> int:
+        """Blocks of all parts, kept or only stood on, and those of running requests."""
+        parts = {id(p): p for p in engine.kept.parts.values()}
+        parts |= {id(p): p for r in engine.running for p in r.stood_on}
+        return sum(-(-p.tokens // 16) for p in parts.values()) + sum(r.private_blocks for r in engine.running)
+
+    def test_no_block_is_lost_or_given_twice(self) -> None:
+        for seed in range(20):
+            chance = random.Random(seed)
+            engine = self.make(capacity=4, queue_limit=8, cache_tokens=16 * 60)
+            now, version, tickets = 0, 1, [0]
+            for number in range(150):
+                now += chance.randrange(20 * MILLI)
+                for output in engine.advance(now):
+                    if isinstance(output, FetchWanted):
+                        found = [KeptPart("s", "m", key[2], 100, 1, "one") for key in output.keys[:1]]
+                        engine.take_fetch(now, output.ticket, chance.choice([None, [], found]))
+                pick = chance.random()
+                if pick < 0.1:
+                    engine.cancel(now, chance.choice(tickets))
+                elif pick < 0.15:
+                    version += 1
+                    engine.name_version(version)
+                    engine.order(now, order(version, mode=chance.choice(["wait", "preempt", "retain"])))
+                else:
+                    parts = [(f"p{chance.randrange(3)}", 100), (f"q{chance.randrange(6)}", 90), (f"own{number}", 33)]
+                    wanted = request(
+                        f"r{number}", *parts, out=chance.randrange(1, 80), urgency=chance.randrange(3),
+                        source=chance.choice(["", "peer"]), deadline_at=now + chance.randrange(1, 900) * MILLI,
+                    )
+                    try:
+                        tickets.append(engine.submit(now, wanted))
+                    except TurnedAway:
+                        continue
+                self.assertEqual(engine.kept.used_blocks, self.count_used(engine), (seed, number))
+                self.assertLessEqual(engine.kept.used_blocks, engine.kept.total_blocks)
+                self.assertGreaterEqual(engine.state()["CacheUsed"], 0)
+            self.run_out(engine, now + 5 * SECOND)
+            self.assertEqual((engine.running, engine.queue, engine.state()["CacheUsed"]), ([], [], 0))
+
+
 class MoveTest(EngineCase):
     def test_a_fetch_checks_neither_tenant_nor_version(self) -> None:
         ticket = self.engine.submit(0, request("a", ("p", 1_600), ("own", 16), source="peer"))
@@ -291,6 +333,17 @@
             self.assertEqual(versions, [2] if mode == "retain" else [])
             self.assertEqual((engine.version, engine.kept.used_blocks), (2, 0))
 
+    def test_reports_show_an_order_a_lag_after_it_began_and_ended(self) -> None:
+        self.engine.advance(0)
+        self.engine.order(10 * MILLI, order(2))
+        self.engine.advance(10 * MILLI)
+        shown = []
+        for moment in (100, 111, 409, 411, 511):
+            self.engine.advance(moment * MILLI)
+            report = self.engine.report(moment * MILLI)
+            shown.append((report["Saturated"], report["CallSeq"], report["Models"][0]["Revision"]))
+        self.assertEqual(shown, [(False, 0, 1), (True, 1, 1), (True, 1, 1), (True, 1, 1), (False, 1, 2)])
+
     def test_a_load_drops_what_was_kept_and_tells_of_it(self) -> None:
         self.engine.submit(0, request("a", ("p", 160)))
         self.run_out(limit=SECOND)
