--- a/src/pearhead/jig/main.py
+++ b/src/pearhead/jig/main.py
@@ -31,6 +31,7 @@
     start_site,
 )
 from pearhead.jig.site.plan import SiteSize
+from pearhead.jig.site.strikes import SiteStrikes
 from pearhead.jig.standin import build_stand_in
 
 SIGNALS = {"kill": signal.SIGKILL, "freeze": signal.SIGSTOP, "wake": signal.SIGCONT}
@@ -117,6 +118,15 @@
         """Judges what callers, workers and operators of an emulated site saw, by the platform's rules."""
         finish_site(judge_site(folder))
 
+    def strike(self, folder: str, rounds: int = 10, seed: int = 1, jobs: int = 300, at_once: int = 16) -> None:
+        """Strikes an emulated site at random under checked requests, and judges it in the end."""
+        strikes = SiteStrikes(SiteLauncher(folder), seed)
+        for number in range(rounds):
+            word, report = strikes.strike(number, jobs, at_once)
+            print(f"{word}: {dict(report.outcomes)}", flush=True)
+        strikes.launcher.wait_ready()
+        finish_site(judge_site(folder))
+
     def name_weights(self, folder: str, version: int) -> None:
         """Names new weights at an emulated site, as its operator does."""
         print(SiteLauncher(folder).name_version(version))
--- /dev/null
+++ b/src/pearhead/jig/site/strikes.py
@@ -0,0 +1,101 @@
+"""SiteStrikes (§9.13): strikes on a running site, drawn from a seed, each under checked requests."""
+
+from __future__ import annotations
+
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from pearhead.jig.site.client import CallReport
+from pearhead.jig.site.launcher import SiteLauncher
+
+SOUND: dict[str, Any] = {
+    "cut": 0.0, "lost": 0.0, "fails": 0.0, "garble": 0.0, "extra": 0.0, "late": 0.0, "slowness": 1.0,
+    "false_health": False, "events_lost": 0.0, "link_slowness": 1.0,
+}
+TROUBLES: dict[str, dict[str, Any]] = {
+    "cuts": {"cut": 0.1, "lost": 0.1, "fails": 0.1}, "garble": {"garble": 0.1, "extra": 0.2, "late": 0.2},
+    "grey": {"slowness": 15.0, "false_health": True}, "events": {"events_lost": 0.5, "link_slowness": 10.0},
+}
+
+
+class SiteStrikes:
+    """Only what `Tolerance` allows is lost at a time: one core, or all cores with their disks. `frozen_seconds`: how
+    long a frozen process sleeps."""
+
+    def __init__(self, launcher: SiteLauncher, seed: int, frozen_seconds: float = 3.0) -> None:
+        self.launcher, self.chance, self.frozen_seconds = launcher, random.Random(seed), frozen_seconds
+        self.version = 1
+        self.strikes: dict[str, Callable[[], str]] = {
+            "kill a core": lambda: self._kill("anvil", 1), "kill all cores": lambda: self._kill("anvil", 99),
+            "kill a front node": lambda: self._kill("lathe", 1), "kill two front nodes": lambda: self._kill("lathe", 2),
+            "kill a worker": lambda: self._kill("engine", 1), "kill the store": lambda: self._kill("store", 1),
+            "kill the list": lambda: self._kill("cloud", 1), "freeze a core": lambda: self._freeze("anvil"),
+            "freeze a front node": lambda: self._freeze("lathe"), "stop a front node": lambda: self._stop("lathe"),
+            "stop a worker": lambda: self._stop("engine"), "name weights": self._name, "change by name": self._change,
+            **{f"trouble a worker: {word}": lambda word=word: self._trouble(word)  # type: ignore[misc]
+               for word in TROUBLES},
+        }
+
+    def strike(self, number: int, request_count: int, at_once: int) -> tuple[str, CallReport]:
+        """One drawn strike while requests run. Returns what was struck and what callers saw."""
+        reports: list[CallReport] = []
+        caller = threading.Thread(
+            target=lambda: reports.append(self.launcher.call(request_count, at_once, number))
+        )
+        caller.start()
+        time.sleep(self.chance.uniform(0.3, 1.2))
+        word = self.chance.choice(list(self.strikes))
+        told = self.strikes[word]()
+        caller.join()
+        for machine in self.launcher.site.of("engine"):
+            if word.startswith("trouble"):
+                self.launcher.command_worker(machine.name, SOUND)
+        return f"{word} ({told})", reports[0]
+
+    def _names(self, program: str, count: int) -> list[str]:
+        names = [m.name for m in self.launcher.site.of(program)]
+        return self.chance.sample(names, min(count, len(names)))
+
+    def _kill(self, program: str, count: int) -> str:
+        names = self._names(program, count)
+        for name in names:
+            self.launcher.send_signal(name, signal.SIGKILL)
+        for name in names:
+            self.launcher.wait_until(lambda name=name: not self.launcher.is_alive(name), f"{name} is gone")  # type: ignore[misc]
+        time.sleep(self.chance.uniform(0.1, 1.0))
+        for name in names:
+            self.launcher.start(name)
+        return ", ".join(names)
+
+    def _freeze(self, program: str) -> str:
+        name = self._names(program, 1)[0]
+        self.launcher.send_signal(name, signal.SIGSTOP)
+        time.sleep(self.frozen_seconds)
+        self.launcher.send_signal(name, signal.SIGCONT)
+        return name
+
+    def _stop(self, program: str) -> str:
+        name = self._names(program, 1)[0]
+        self.launcher.stop(name)
+        self.launcher.start(name)
+        return name
+
+    def _trouble(self, word: str) -> str:
+        name = self._names("engine", 1)[0]
+        self.launcher.command_worker(name, TROUBLES[word])
+        return name
+
+    def _name(self) -> str:
+        versions = [self.launcher.version_of(m.name) for m in self.launcher.site.of("engine")]
+        self.version = max([self.version, *versions]) + 1
+        return f"{self.version}: {self.launcher.name_version(self.version)}"
+
+    def _change(self) -> str:
+        held = self.launcher.plan["config"]
+        number = held["Revision"] + self.chance.randrange(1, 6)
+        added = {**held["RouteTable"][0], "Name": f"r-added-{number}", "Prefix": f"/added{number}/"}
+        return f"{number}: {self.launcher.patch({'Revision': number, 'Upsert': {'RouteTable': [added]}})}"
