Placing by what reading costs, with memory, keepers and short prompts in view

The old pace was taught against a reckoning that held it already, and by short requests, which pass by. A fetch from the store in another zone was reckoned slower than reading and not made. The prompts of 4 nodes within 38 ms went to one worker (notes come each 50 ms), 162,000 tokens for its 149,454: a request put back. A second request behind the read of the same 39,900 tokens was reckoned to find them kept, and read them anew (953 ms reckoned, 1,933 ms seen).

--- a/src/pearhead/lathe/gate.py
+++ b/src/pearhead/lathe/gate.py
@@ -19,7 +19,7 @@
 from pearhead.lathe.fleet_budget import FleetBudget
 from pearhead.lathe.load_book import LoadBook
 from pearhead.lathe.opaque import AnswerHead, AnswerPen, Dialect, Directions, OpaqueRequest, Verdict
-from pearhead.lathe.placer import Choice, Placer
+from pearhead.lathe.placer import LONG_TOKENS, Choice, Placer
 from pearhead.lathe.upstream import UpstreamCall, UpstreamPool
 
 LOGGER = picologging.getLogger("pearhead")
@@ -70,6 +70,7 @@
         self, clock: Clock, current: CurrentView, placer: Placer, loads: LoadBook, pool: UpstreamPool,
         budget: FleetBudget, dialect: Dialect, node_count: Callable[[], int],
         note_versions: Callable[[str, AnswerHead], None],
+        tell_long_read: Callable[[], None] = lambda: None,
     ) -> None:
         self.clock = clock
         self.current = current
@@ -80,6 +81,7 @@
         self.dialect = dialect
         self.node_count = node_count
         self.note_versions = note_versions
+        self.tell_long_read = tell_long_read
         self.open_requests = 0
         self.outcomes: dict[str, int] = {}
 
@@ -186,6 +188,8 @@
             passage.may_have_run = True
             waiting.begin()
             call.send(request.method, request.target, headers, request.body)
+            if choice.missing_tokens >= LONG_TOKENS:
+                self.tell_long_read()
             return await self._relay(passage, way, choice, directions, call, waiting, sent_micros)
         except TimeoutError:
             return Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
@@ -239,7 +243,10 @@
                 continue
             if waiting.is_waiting:
                 waiting.first_event()
-                self.loads.learn_pace(worker, choice.expected_micros, self.clock.now() - sent_micros)
+                self.placer.expect(choice, passage.request)
+                self.loads.learn_pace(
+                    worker, choice.missing_tokens, choice.expected_micros, self.clock.now() - sent_micros
+                )
             if not passage.has_begun:
                 passage.has_begun = True
                 pen.begin(head.status, head.reason, _passed_on(head.headers))
--- a/src/pearhead/lathe/gateway.py
+++ b/src/pearhead/lathe/gateway.py
@@ -101,7 +101,8 @@
         )
         budget = FleetBudget(clock, settings.retry_ratio, settings.retry_slack, settings.retry_window_micros)
         self.gate = Gate(
-            clock, self, self.placer, self.loads, self.pool, budget, dialect, self._node_count, self._note_versions
+            clock, self, self.placer, self.loads, self.pool, budget, dialect, self._node_count, self._note_versions,
+            self._tell_long_read,
         )
         self.is_draining = False
         self.courier.on_tell("use_note", self._take_use)
@@ -168,9 +169,17 @@
                 continue
             if self.loads.is_changed or (self.loads.own and now_micros - told_micros > USE_REPEAT_MICROS):
                 told_micros = now_micros
-                addresses = [r.address for r in self.directory.members("lathe")]
-                if addresses:
-                    self.courier.cast(addresses, "use_note", self.loads.note())
+                self._cast_use()
+
+    def _tell_long_read(self) -> None:
+        """At once: until the next round, other nodes would send their long prompts to the same worker (§8.8)."""
+        if not self.relay.is_active():
+            self._cast_use()
+
+    def _cast_use(self) -> None:
+        addresses = [r.address for r in self.directory.members("lathe")]
+        if addresses:
+            self.courier.cast(addresses, "use_note", self.loads.note())
 
     async def _sweep(self) -> None:
         known: dict[str, str] = {}
--- a/src/pearhead/lathe/load_book.py
+++ b/src/pearhead/lathe/load_book.py
@@ -12,6 +12,7 @@
 FAULT_REST_LIMIT_MICROS = 4 * SECOND
 PACE_LEAST, PACE_MOST = 0.5, 6.0
 PACE_WEIGHT = 0.1
+PACE_TOKENS = 1_000
 
 
 @dataclass
@@ -96,8 +97,10 @@
     def is_resting(self, worker: str) -> bool:
         return self.rests_until.get(worker, 0) > self.clock.now()
 
-    def learn_pace(self, worker: str, expected_micros: int, seen_micros: int) -> None:
-        """How much longer than reckoned its first events take, within bounds."""
+    def learn_pace(self, worker: str, read_tokens: int, expected_micros: int, seen_micros: int) -> None:
+        """How much longer than reckoned its first events take, within bounds; short requests pass by what waits."""
+        if read_tokens < PACE_TOKENS:
+            return
         seen = min(max(seen_micros / max(expected_micros, 5 * MILLI), PACE_LEAST), PACE_MOST)
         self.paces[worker] = self.pace_of(worker) * (1 - PACE_WEIGHT) + seen * PACE_WEIGHT
 
--- a/src/pearhead/lathe/placer.py
+++ b/src/pearhead/lathe/placer.py
@@ -20,20 +20,35 @@
 from pearhead.lathe.version_book import VersionBook
 from pearhead.lathe.worker_control import Backend
 
-MICROS_A_TOKEN = 16.4
+# Reading: a token with its share of the batch's step, and each pair of a token read with one before it.
+MICROS_A_TOKEN = 19.7
+MICROS_A_PAIR = 0.000_324
 FIRST_MICROS = 12 * MILLI
 FETCH_FIXED_MICROS = 6 * MILLI
 SLOT_MICROS = 600
 QUEUED_MICROS = 60 * MILLI
-FULL_MICROS = 10 * SECOND
-EXPECTED_MICROS = 3 * SECOND
+# What a keeper has is fetched even where reading it again would be somewhat quicker: that takes the batch's steps.
+READ_AGAIN_WEIGHT = 2.0
+# What is kept elsewhere and read here takes room and steps from later requests, and is worth a wait.
+AGAIN_MICROS_A_TOKEN = 300
+AGAIN_LIMIT_MICROS = 600 * MILLI
+# A worker that runs out of memory puts a request back and reads all of it anew.
+MEMORY_SHARE = 0.92
+SHORTAGE_MICROS = SECOND
+EXPECTED_MICROS = SECOND
+EXPECTED_LIMIT = 4_000
 LONG_TOKENS = 1_000
 AFFINITY_SHARE = 0.5
+# Where all have long prompts to read, short ones would wait behind them: these workers are spared as far as that goes.
+QUIET_SHARE = 0.4
+QUIET_BACKLOG_MICROS = 300 * MILLI
+QUIET_WEIGHT = 3
+QUIET_LIMIT_MICROS = 1_200 * MILLI
 
 
 @dataclass(frozen=True)
 class Choice:
-    """`missing_tokens` are read by the worker; `expected_micros` until its first event."""
+    """`missing_tokens` are read by the worker; `expected_micros` until its first event, before the worker's pace."""
 
     backend: Backend
     service: str
@@ -76,7 +91,7 @@
             found = self._choose_in(view, roster, service, request, tenant, excluded)
             if found is not None:
                 return Ok(found)
-        return Err(Refusal(ErrorKind.NO_WORKER, "no worker can run it now", 300 * MILLI))
+        return Err(Refusal(ErrorKind.NO_WORKER, "no worker can run it now", 600 * MILLI))
 
     def stands(self, view: View, choice: Choice) -> bool:
         """Whether this very choice could still be made: asked in one step with the first byte (§8.4)."""
@@ -123,13 +138,20 @@
             version: self.salts.salt(view, tenant, line, version, request.parts)
             for version in {self.versions.version_of(b.name, line) for b in candidates} if version is not None
         }
+        kept_anywhere = {
+            version: self._kept_anywhere(salt.text, request, candidates) for version, salt in salts.items()
+        }
         home_order = _home_order(request, candidates)
-        choices = [
-            (self._choice(view, roster, service, backend, salts, line, request, home_order[backend.name]), backend.name)
-            for backend in candidates
-        ]
-        (_, choice), _ = min(choices, key=lambda item: (item[0][0], item[1]))
-        self._expect(choice, request)
+        quiet, quiet_micros = self._quiet_workers(service, candidates, request)
+        choices = []
+        for backend in candidates:
+            cost, choice = self._choice(
+                view, roster, service, backend, salts, kept_anywhere, line, request, home_order[backend.name]
+            )
+            if backend.name in quiet and choice.missing_tokens >= LONG_TOKENS:
+                cost += quiet_micros
+            choices.append((cost, backend.name, choice))
+        choice = min(choices, key=lambda item: item[:2])[2]
         return choice
 
     def _is_usable(self, view: View, backend: Backend, line: str) -> bool:
@@ -144,7 +166,7 @@
 
     def _choice(
         self, view: View, roster: Roster, service: Service, backend: Backend, salts: Mapping[int, SaltText],
-        line: str, request: OpaqueRequest, home_rank: int,
+        kept_anywhere: Mapping[int, int], line: str, request: OpaqueRequest, home_rank: int,
     ) -> tuple[float, Choice]:
         version = self.versions.version_of(backend.name, line)
         assert version is not None
@@ -160,26 +182,40 @@
         use = self.loads.use_of(backend.name)
         pace = self.loads.pace_of(backend.name)
         read = missing - fetched
-        own_micros = read * MICROS_A_TOKEN + fetch_micros + FIRST_MICROS
+        own_micros = read_micros(read, kept + fetched) + fetch_micros + FIRST_MICROS
         waiting_micros = use.waiting_tokens * MICROS_A_TOKEN + use.running * SLOT_MICROS
         capacity = backend.capacity or service.capacity or 1
         if use.running >= capacity:
             waiting_micros += QUEUED_MICROS * (1 + use.running - capacity)
-        if service.cache_tokens and use.held_tokens + prompt + request.output_tokens > service.cache_tokens:
-            waiting_micros += QUEUED_MICROS * 4
-        expected = (own_micros + waiting_micros) * pace
+        reckoned = own_micros + waiting_micros
         # A long prefix that is kept nowhere goes where all nodes send it, unless that is much busier.
         shared = sum(part.tokens for part in request.parts[:-1])
-        strangeness = 0.0
-        if shared >= LONG_TOKENS and home_rank:
-            strangeness = min(home_rank, 3) * AFFINITY_SHARE * shared * MICROS_A_TOKEN / 3
-            if kept >= shared:
-                strangeness = 0.0
+        strangeness = _shortage_micros(service, use.held_tokens + prompt + request.output_tokens)
+        again = min(kept_anywhere.get(version, 0), shared) - kept - fetched
+        strangeness += min(max(again, 0) * AGAIN_MICROS_A_TOKEN, AGAIN_LIMIT_MICROS)
+        if shared >= LONG_TOKENS and kept < shared:
+            strangeness += min(home_rank, 3) * AFFINITY_SHARE * shared * MICROS_A_TOKEN / 3
         save_to = self._store_for(view, salt.text, request, kept) if salt.is_fresh else ""
-        return expected + strangeness, Choice(
-            backend, service.name, line, version, salt.text, kept + fetched, read, fetch_from, save_to, int(expected)
+        return reckoned * pace + strangeness, Choice(
+            backend, service.name, line, version, salt.text, kept + fetched, read, fetch_from, save_to, int(reckoned)
         )
 
+    def _quiet_workers(
+        self, service: Service, candidates: list[Backend], request: OpaqueRequest
+    ) -> tuple[frozenset[str], float]:
+        """Workers that a long prompt spares, and how much longer it waits for that: none while there is little to read.
+
+        Nodes agree on them without talking.
+        """
+        if request.prompt_tokens() < LONG_TOKENS:
+            return frozenset(), 0.0
+        waiting_tokens = sum(self.loads.use_of(backend.name).waiting_tokens for backend in candidates)
+        excess_micros = waiting_tokens * MICROS_A_TOKEN / len(candidates) - QUIET_BACKLOG_MICROS
+        if excess_micros <= 0:
+            return frozenset(), 0.0
+        names = _by_rendezvous(f"quiet/{service.name}", candidates)[: round(len(candidates) * QUIET_SHARE)]
+        return frozenset(names), min(QUIET_WEIGHT * excess_micros, QUIET_LIMIT_MICROS)
+
     def _kept(self, worker: str, salt: str, request: OpaqueRequest) -> int:
         kept = self.index.kept_tokens(worker, salt, request.parts)
         now_micros = self.clock.now()
@@ -190,6 +226,16 @@
             expected += part.tokens
         return max(kept, expected)
 
+    def _kept_anywhere(self, salt: str, request: OpaqueRequest, candidates: list[Backend]) -> int:
+        """The most that any keeper has of it."""
+        if not request.parts:
+            return 0
+        first = request.parts[0].part
+        names = self.index.keepers_of(salt, first) | {
+            backend.name for backend in candidates if (backend.name, salt, first) in self.expected
+        }
+        return max((self._kept(name, salt, request) for name in names), default=0)
+
     def _best_fetch(
         self, view: View, roster: Roster, service: Service, backend: Backend, version: int, line: str, salt: str,
         request: OpaqueRequest, kept: int,
@@ -198,7 +244,7 @@
         if not request.parts or not service.token_bytes:
             return "", 0, 0.0
         best = ("", 0, 0.0)
-        best_gain = 20.0 * MILLI
+        best_gain = 0.0
         for keeper in self.index.keepers_of(salt, request.parts[0].part):
             if keeper == backend.name:
                 continue
@@ -219,7 +265,7 @@
                 continue
             move_micros = tokens * service.token_bytes * 8 / min(mbps, service.link_mbps or mbps)
             move_micros = move_micros * (1 if zone == backend.zone else 2) + FETCH_FIXED_MICROS
-            gain = tokens * MICROS_A_TOKEN - move_micros
+            gain = READ_AGAIN_WEIGHT * read_micros(tokens, kept) - move_micros
             if gain > best_gain:
                 best, best_gain = (address, tokens, move_micros), gain
         return best
@@ -236,14 +282,29 @@
                     return service.store_address
         return ""
 
-    def _expect(self, choice: Choice, request: OpaqueRequest) -> None:
+    def expect(self, choice: Choice, request: OpaqueRequest) -> None:
+        """Its first event is here, so its parts are read and kept; the worker's own word of it comes later.
+
+        Not sooner: a request that starts while they are being read reads them too.
+        """
         now_micros = self.clock.now()
         for part in request.parts[:-1]:
             self.expected[choice.backend.name, choice.salt, part.part] = now_micros + EXPECTED_MICROS
-        if len(self.expected) > 4_000:
+        if len(self.expected) > EXPECTED_LIMIT:
             self.expected = {key: until for key, until in self.expected.items() if until > now_micros}
 
 
+def read_micros(tokens: int, kept_tokens: int) -> float:
+    """How long a worker reads so many tokens behind those that it keeps, with nothing else to read."""
+    return tokens * (MICROS_A_TOKEN + MICROS_A_PAIR * (kept_tokens + tokens / 2))
+
+
+def _shortage_micros(service: Service, held_tokens: int) -> float:
+    """What it costs to ask a worker for more than its memory; more of it the more is asked."""
+    room = service.cache_tokens * MEMORY_SHARE
+    return SHORTAGE_MICROS * held_tokens / room if room and held_tokens > room else 0.0
+
+
 def _line_of(request: OpaqueRequest, service: Service) -> str:
     """A request that names no line goes on the first that its service runs."""
     if not request.line and service.lines:
@@ -266,10 +327,15 @@
 
 
 def _home_order(request: OpaqueRequest, candidates: list[Backend]) -> dict[str, int]:
-    """By rendezvous on the first part, so that nodes agree without talking."""
+    """By the first part."""
     first = request.parts[0].part if request.parts else request.request_id
+    return {name: rank for rank, name in enumerate(_by_rendezvous(first, candidates))}
+
+
+def _by_rendezvous(subject: str, candidates: list[Backend]) -> list[str]:
+    """So that nodes agree without talking."""
 
-    def weight(backend: Backend) -> bytes:
-        return hashlib.blake2b(f"{first}/{backend.name}".encode(), digest_size=8).digest()
+    def weight(name: str) -> bytes:
+        return hashlib.blake2b(f"{subject}/{name}".encode(), digest_size=8).digest()
 
-    return {b.name: rank for rank, b in enumerate(sorted(candidates, key=weight))}
+    return sorted((backend.name for backend in candidates), key=weight)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -72,6 +72,7 @@
     def __init__(self) -> None:
         self.does_stand = True
         self.chosen: list[str] = []
+        self.expected: list[str] = []
 
     def choose(
         self, view: View, route: Route, request: OpaqueRequest, tenant: Tenant | None, excluded: frozenset[str]
@@ -86,6 +87,9 @@
     def stands(self, view: View, choice: Choice) -> bool:
         return self.does_stand
 
+    def expect(self, choice: Choice, request: OpaqueRequest) -> None:
+        self.expected.append(choice.backend.name)
+
 
 class FakeDialect:
     def outgoing_headers(self, request: OpaqueRequest, directions: Directions) -> HTTPHeaders:
--- a/tests/test_load_book.py
+++ b/tests/test_load_book.py
@@ -46,7 +46,7 @@
 
     def test_paces_stay_within_bounds(self) -> None:
         for _ in range(200):
-            self.loads.learn_pace("w", 10 * MILLI, 10 * SECOND)
+            self.loads.learn_pace("w", 2_000, 10 * MILLI, 10 * SECOND)
         self.assertLessEqual(self.loads.pace_of("w"), 6.0)
 
 
--- /dev/null
+++ b/tests/test_placer.py
@@ -0,0 +1,131 @@
+"""Placer: which worker a request goes to, by what is known of loads, kept parts and memory."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from tornado.httputil import HTTPHeaders
+
+from pearhead.awl.bench import Bench
+from pearhead.awl.clock import MILLI, SECOND
+from pearhead.awl.description import Description, Route, Service, Split
+from pearhead.awl.view import View
+from pearhead.awl.wire_pb2 import KeptNote, KeptPart
+from pearhead.lathe.kept_index import KeptIndex
+from pearhead.lathe.load_book import LoadBook
+from pearhead.lathe.opaque import OpaqueRequest, PromptPart
+from pearhead.lathe.part_salt import SaltText
+from pearhead.lathe.placer import Choice, Placer, read_micros
+from pearhead.lathe.roster import Roster
+from pearhead.lathe.version_book import VersionBook
+from pearhead.lathe.worker_control import Backend
+
+ROUTE = Route("r", "h", "/a/", [Split("s", 1)], 5 * SECOND)
+
+
+class FakeSalts:
+    def salt(self, *given: Any) -> SaltText:
+        return SaltText("salt", True)
+
+
+class PlacerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.service = Service(
+            "s", "model", ["l"], capacity=24, cache_tokens=100_000, token_bytes=160_000, link_mbps=500_000.0
+        )
+        self.store = Service("k", "store", store_address="10.0.0.9:1", store_zone="z", link_mbps=150_000.0)
+        self.backends = {
+            f"w{n}": Backend(f"w{n}", f"10.0.0.{n}:1", "z", "s", 24, False, {"l": 1}) for n in range(1, 7)
+        }
+        self.loads = LoadBook(self.bench)
+        self.index = KeptIndex()
+        roster = Roster(self.backends)
+        versions = VersionBook(self.bench)
+        versions.take_roster(roster)
+        self.placer = Placer(
+            self.bench, "z", lambda: roster, versions, self.index, self.loads,
+            FakeSalts(), lambda view, line, version: True,  # type: ignore[arg-type]
+        )
+        self.view = View()
+        self.view.__dict__["description"] = Description(services=[self.service, self.store], routes=[ROUTE])
+
+    def request(self, *tokens: int, name: str = "p") -> OpaqueRequest:
+        parts = tuple(PromptPart(f"{name}{place}", count) for place, count in enumerate(tokens))
+        return OpaqueRequest(
+            "id", "POST", "/a/x", "h", "/a/x", HTTPHeaders(), b"", self.bench.now(), line="l", parts=parts,
+            output_tokens=100,
+        )
+
+    def choose(self, *tokens: int, name: str = "p") -> Choice:
+        return self.placer.choose(self.view, ROUTE, self.request(*tokens, name=name), None, frozenset()).unwrap()
+
+    def keep(self, keeper: str, *tokens: int, name: str = "p") -> None:
+        self.index.take(KeptNote(worker=keeper, life="a", sequence=1, whole=True, part=[
+            KeptPart(salt="salt", part=f"{name}{place}", tokens=count) for place, count in enumerate(tokens)
+        ]))
+
+    def others_than(self, worker: str) -> list[str]:
+        return [name for name in self.backends if name != worker]
+
+    def test_no_worker_is_asked_for_more_than_its_memory_while_another_has_room(self) -> None:
+        full = self.choose(12_000, 2_000).backend.name
+        self.keep(full, 12_000)
+        self.loads.begin(full, 0, 90_000)
+        self.assertNotEqual(self.choose(12_000, 2_000).backend.name, full, "although it keeps the shared part")
+        for name in self.others_than(full):
+            self.loads.begin(name, 0, 99_000)
+        self.assertEqual(self.choose(12_000, 2_000).backend.name, full, "all lack room: the one that lacks least")
+
+    def test_long_prompts_spare_some_workers_only_while_there_is_much_to_read(self) -> None:
+        chosen = {self.choose(9_000, 500, name=f"n{n}-").backend.name for n in range(200)}
+        self.assertEqual(len(chosen), 6, "all idle")
+        for name in self.backends:
+            self.loads.begin(name, 20_000, 20_000)
+        busy = {self.choose(9_000, 500, name=f"m{n}-").backend.name for n in range(200)}
+        self.assertEqual(len(busy), 4, "all with as much to read")
+        for name in busy:
+            self.loads.begin(name, 90_000, 20_000)
+        self.assertNotIn(self.choose(9_000, 500, name="late-").backend.name, busy, "the others are much busier")
+
+    def test_short_prompts_go_where_nothing_long_is_read(self) -> None:
+        for name in self.others_than("w3"):
+            self.loads.begin(name, 9_000, 9_500)
+        self.assertEqual(self.choose(50, 200).backend.name, "w3")
+
+    def test_a_short_prompt_goes_back_to_its_keeper_unless_that_is_much_busier(self) -> None:
+        self.keep("w5", 60, 40)
+        for _ in range(15):
+            self.loads.begin("w5", 0, 200)
+        self.assertEqual(self.choose(60, 40, 200).backend.name, "w5")
+        self.loads.begin("w5", 9_000, 9_000)
+        self.assertNotEqual(self.choose(60, 40, 200).backend.name, "w5")
+
+    def test_what_was_read_counts_as_kept_from_the_first_event_until_the_worker_tells(self) -> None:
+        request, choice = self.request(9_000, 500), self.choose(9_000, 500)
+        worker = choice.backend.name
+        self.assertEqual(self.choose(9_000, 500).missing_tokens, 9_500, "it is not read yet")
+        self.placer.expect(choice, request)
+        self.loads.begin(worker, 2_000, 9_600)
+        again = self.choose(9_000, 500)
+        self.assertEqual((again.backend.name, again.missing_tokens), (worker, 500))
+        self.bench.nowMicros += 2 * SECOND
+        self.assertEqual(self.choose(9_000, 500).missing_tokens, 9_500, "the worker told nothing of it")
+
+    def test_what_a_keeper_has_is_fetched_though_reading_would_be_somewhat_quicker(self) -> None:
+        self.keep("k", 9_000)
+        choice = self.choose(9_000, 500)
+        self.assertEqual((choice.fetch_from, choice.missing_tokens), (self.store.store_address, 500))
+        self.store.__dict__["link_mbps"] = 20_000.0
+        self.assertEqual(self.choose(9_000, 500).fetch_from, "", "three times as long as reading")
+
+    def test_the_reckoning_does_not_hold_the_pace_that_it_teaches(self) -> None:
+        choice = self.choose(9_000, 500)
+        self.assertAlmostEqual(choice.expected_micros, read_micros(9_500, 0) + 12 * MILLI, delta=MILLI)
+        for name in self.backends:
+            for _ in range(100):
+                self.loads.learn_pace(name, 9_500, choice.expected_micros, 2 * choice.expected_micros)
+            self.assertAlmostEqual(self.loads.pace_of(name), 2.0, places=2)
+        self.bench.nowMicros += 10 * SECOND
+        self.assertEqual(self.choose(9_000, 500).expected_micros, choice.expected_micros)
