Who needs parts that are being read waits for their end instead of reading them too

Now a long read and its end are told to all nodes at once (ReadNote); who would read the same parts waits for its first event, 1.2 s and a quarter of its time at most and once only, and is placed anew.

--- a/src/pearhead/lathe/gate.py
+++ b/src/pearhead/lathe/gate.py
@@ -19,7 +19,8 @@
 from pearhead.lathe.fleet_budget import FleetBudget
 from pearhead.lathe.load_book import LoadBook
 from pearhead.lathe.opaque import AnswerHead, AnswerPen, Dialect, Directions, OpaqueRequest, Verdict
-from pearhead.lathe.placer import LONG_TOKENS, Choice, Placer
+from pearhead.lathe.placer import Choice, Placer
+from pearhead.lathe.read_book import LongRead, ReadBook
 from pearhead.lathe.upstream import UpstreamCall, UpstreamPool
 
 LOGGER = picologging.getLogger("pearhead")
@@ -42,7 +43,8 @@
 
 @dataclass
 class Passage:
-    """One request on its way. `may_have_run`: a worker may have begun it; `has_begun`: the caller has a head."""
+    """One request on its way. `may_have_run`: a worker may have begun it; `has_begun`: the caller has a head;
+    `is_fresh`: it was sent to no worker and waited for no other's read."""
 
     request: OpaqueRequest
     pen: AnswerPen
@@ -53,6 +55,7 @@
     may_have_run: bool = False
     had_run: bool = False
     has_begun: bool = False
+    is_fresh: bool = True
     is_done: bool = False
     tried: set[str] = field(default_factory=set)
     retry_micros: int = SOON_MICROS
@@ -70,7 +73,7 @@
         self, clock: Clock, current: CurrentView, placer: Placer, loads: LoadBook, pool: UpstreamPool,
         budget: FleetBudget, dialect: Dialect, node_count: Callable[[], int],
         note_versions: Callable[[str, AnswerHead], None],
-        tell_long_read: Callable[[], None] = lambda: None,
+        reads: ReadBook | None = None,
     ) -> None:
         self.clock = clock
         self.current = current
@@ -81,7 +84,7 @@
         self.dialect = dialect
         self.node_count = node_count
         self.note_versions = note_versions
-        self.tell_long_read = tell_long_read
+        self.reads = reads or ReadBook(clock, placer.expect, lambda note: None)
         self.open_requests = 0
         self.outcomes: dict[str, int] = {}
 
@@ -116,7 +119,12 @@
                 if isinstance(chosen, Err):
                     last = chosen.err_value
                     break
-                last = await self._carry(passage, way, chosen.ok_value)
+                choice = chosen.ok_value
+                if passage.is_fresh and await self.reads.wait_for(choice, request, left_micros // 4):
+                    passage.is_fresh = False
+                    continue
+                passage.is_fresh = False
+                last = await self._carry(passage, way, choice)
             if not passage.is_done:
                 self._give_up(passage, last)
         finally:
@@ -188,8 +196,7 @@
             passage.may_have_run = True
             waiting.begin()
             call.send(request.method, request.target, headers, request.body)
-            if choice.missing_tokens >= LONG_TOKENS:
-                self.tell_long_read()
+            waiting.read = self.reads.begin(choice, request)
             return await self._relay(passage, way, choice, directions, call, waiting, sent_micros)
         except TimeoutError:
             return Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
@@ -243,7 +250,7 @@
                 continue
             if waiting.is_waiting:
                 waiting.first_event()
-                self.placer.expect(choice, passage.request)
+                self.placer.expect(worker, choice.salt, [part.part for part in passage.request.parts[:-1]])
                 self.loads.learn_pace(
                     worker, choice.missing_tokens, choice.expected_micros, self.clock.now() - sent_micros
                 )
@@ -346,6 +353,7 @@
         self.held_tokens = held_tokens
         self.is_waiting = False
         self.is_running = False
+        self.read: LongRead | None = None
 
     def begin(self) -> None:
         self.is_waiting = self.is_running = True
@@ -353,9 +361,13 @@
 
     def first_event(self) -> None:
         self.is_waiting = False
+        if self.read is not None:
+            self.read.end(True)
         self.loads.first_event(self.worker, self.missing_tokens)
 
     def end(self) -> None:
+        if self.read is not None:
+            self.read.end(False)
         if self.is_running:
             self.is_running = False
             self.loads.end(self.worker, self.missing_tokens if self.is_waiting else 0, self.held_tokens)
--- a/src/pearhead/lathe/gateway.py
+++ b/src/pearhead/lathe/gateway.py
@@ -14,7 +14,7 @@
 from pearhead.awl.net import Net
 from pearhead.awl.startup import Startup
 from pearhead.awl.view import View
-from pearhead.awl.wire_pb2 import KeptNote, Record, UseNote
+from pearhead.awl.wire_pb2 import KeptNote, ReadNote, Record, UseNote
 from pearhead.lathe.core_commander import CoreCommander
 from pearhead.lathe.fleet_budget import FleetBudget
 from pearhead.lathe.gate import Gate
@@ -24,6 +24,7 @@
 from pearhead.lathe.opaque import AnswerHead, Dialect
 from pearhead.lathe.part_salt import PartSalt
 from pearhead.lathe.placer import Placer
+from pearhead.lathe.read_book import ReadBook
 from pearhead.lathe.relay import Relay
 from pearhead.lathe.roll_out import RollOut
 from pearhead.lathe.roster import RosterKeeper
@@ -100,9 +101,11 @@
             PartSalt(self.listener), self.weights.may_use, self._sample,
         )
         budget = FleetBudget(clock, settings.retry_ratio, settings.retry_slack, settings.retry_window_micros)
+        self.reads = ReadBook(clock, self.placer.expect, self._tell_read)
+        self.courier.on_tell("read_note", self._take_read)
         self.gate = Gate(
             clock, self, self.placer, self.loads, self.pool, budget, dialect, self._node_count, self._note_versions,
-            self._tell_long_read,
+            self.reads,
         )
         self.is_draining = False
         self.courier.on_tell("use_note", self._take_use)
@@ -171,10 +174,14 @@
                 told_micros = now_micros
                 self._cast_use()
 
-    def _tell_long_read(self) -> None:
-        """At once: until the next round, other nodes would send their long prompts to the same worker (§8.8)."""
+    def _tell_read(self, note: ReadNote) -> None:
+        """At once: until the next round, other nodes would send long prompts to the same worker (§8.8)."""
         if not self.relay.is_active():
             self._cast_use()
+            self.courier.cast([r.address for r in self.directory.members("lathe")], "read_note", note)
+
+    def _take_read(self, identity: str, address: str, note: ReadNote) -> None:
+        self.reads.take(note)
 
     def _cast_use(self) -> None:
         addresses = [r.address for r in self.directory.members("lathe")]
--- a/src/pearhead/lathe/placer.py
+++ b/src/pearhead/lathe/placer.py
@@ -282,14 +282,14 @@
                     return service.store_address
         return ""
 
-    def expect(self, choice: Choice, request: OpaqueRequest) -> None:
-        """Its first event is here, so its parts are read and kept; the worker's own word of it comes later.
+    def expect(self, worker: str, salt: str, parts: Iterable[str]) -> None:
+        """The first event of their reader is here, so they are kept; the worker's own word of it comes later.
 
         Not sooner: a request that starts while they are being read reads them too.
         """
         now_micros = self.clock.now()
-        for part in request.parts[:-1]:
-            self.expected[choice.backend.name, choice.salt, part.part] = now_micros + EXPECTED_MICROS
+        for part in parts:
+            self.expected[worker, salt, part] = now_micros + EXPECTED_MICROS
         if len(self.expected) > EXPECTED_LIMIT:
             self.expected = {key: until for key, until in self.expected.items() if until > now_micros}
 
--- /dev/null
+++ b/src/pearhead/lathe/read_book.py
@@ -0,0 +1,101 @@
+"""ReadBook (§8.8): long reads under way at workers, so that nobody reads the same parts at the same time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from pearhead.awl.clock import MILLI, SECOND, Clock
+from pearhead.awl.wire_pb2 import ReadNote
+from pearhead.lathe.opaque import OpaqueRequest
+from pearhead.lathe.placer import LONG_TOKENS, Choice
+
+WAIT_MICROS = 1_200 * MILLI
+LOST_MICROS = 1_500 * MILLI
+
+Key = tuple[str, str]
+
+
+class LongRead:
+    """One request that reads shared parts which nobody keeps; its owner ends it in any case."""
+
+    def __init__(self, book: ReadBook, key: Key, note: ReadNote, until_micros: int) -> None:
+        self.book = book
+        self.key = key
+        self.note = note
+        self.until_micros = until_micros
+        self.is_over = asyncio.Event()
+
+    def end(self, is_kept: bool) -> None:
+        """With its first event its parts are kept; when it failed before, somebody else has to read them."""
+        if not self.is_over.is_set():
+            self.note.is_over, self.note.is_kept = True, is_kept
+            self.book.close(self)
+            self.book.tell(self.note)
+
+
+class ReadBook:
+    """Own reads and those that other nodes told of. `expect`: a worker keeps parts now; `tell`: to all nodes."""
+
+    def __init__(
+        self, clock: Clock, expect: Callable[[str, str, Sequence[str]], None], tell: Callable[[ReadNote], None]
+    ) -> None:
+        self.clock = clock
+        self.expect = expect
+        self.tell = tell
+        self.reads: dict[Key, LongRead] = {}
+
+    def begin(self, choice: Choice, request: OpaqueRequest) -> LongRead | None:
+        """Called once it is sent and counted as the worker's use; None if others gain nothing by knowing."""
+        key = _key_of(choice, request)
+        if key is None:
+            return None
+        note = ReadNote(worker=choice.backend.name, salt=choice.salt, part=[p.part for p in request.parts[:-1]])
+        read = self.reads[key] = LongRead(self, key, note, self.clock.now() + LOST_MICROS)
+        self.tell(note)
+        return read
+
+    def take(self, note: ReadNote) -> None:
+        """Another node's word."""
+        key = (note.salt, note.part[-1]) if note.part else None
+        if key is None:
+            return
+        held = self.reads.get(key)
+        if not note.is_over:
+            if held is None or held.until_micros <= self.clock.now():
+                self.reads[key] = LongRead(self, key, note, self.clock.now() + LOST_MICROS)
+        elif held is not None and held.note.worker == note.worker:
+            held.note.is_kept = note.is_kept
+            self.close(held)
+        elif note.is_kept:
+            self.expect(note.worker, note.salt, note.part)
+
+    def close(self, read: LongRead) -> None:
+        if self.reads.get(read.key) is read:
+            del self.reads[read.key]
+        if read.note.is_kept:
+            self.expect(read.note.worker, read.note.salt, read.note.part)
+        read.is_over.set()
+
+    async def wait_for(self, choice: Choice, request: OpaqueRequest, limit_micros: int) -> bool:
+        """Waits for the end of a read of the same parts; whether there was one, so that it is placed anew."""
+        key = _key_of(choice, request)
+        read = self.reads.get(key) if key is not None else None
+        if read is None:
+            return False
+        left_micros = min(read.until_micros - self.clock.now(), WAIT_MICROS, limit_micros)
+        if left_micros <= 0:
+            return False
+        try:
+            await asyncio.wait_for(read.is_over.wait(), left_micros / SECOND)
+        except TimeoutError:
+            pass
+        return True
+
+
+def _key_of(choice: Choice, request: OpaqueRequest) -> Key | None:
+    """The last shared part: it is kept only behind all before it."""
+    shared = request.parts[:-1]
+    if not shared or choice.missing_tokens - request.parts[-1].tokens < LONG_TOKENS:
+        return None
+    return choice.salt, shared[-1].part
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import unittest
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Any
 
 from result import Err, Ok, Result
@@ -13,12 +13,14 @@
 from pearhead.awl.clock import SECOND
 from pearhead.awl.description import Description, Route, Split, Tenant
 from pearhead.awl.view import View
+from pearhead.awl.wire_pb2 import ReadNote
 from pearhead.lathe.errors import ERROR_TABLE, ErrorKind, Refusal
 from pearhead.lathe.fleet_budget import FleetBudget
 from pearhead.lathe.gate import Gate, hash_key
 from pearhead.lathe.load_book import LoadBook
-from pearhead.lathe.opaque import AnswerHead, Directions, OpaqueRequest, Verdict
+from pearhead.lathe.opaque import AnswerHead, Directions, OpaqueRequest, PromptPart, Verdict
 from pearhead.lathe.placer import Choice
+from pearhead.lathe.read_book import ReadBook
 from pearhead.lathe.worker_control import Backend
 
 EVENTS = [b"id: %d\ndata: x\n\n" % n for n in range(1, 4)]
@@ -69,7 +71,8 @@
 
 
 class FakePlacer:
-    def __init__(self) -> None:
+    def __init__(self, missing_tokens: int = 10) -> None:
+        self.missing_tokens = missing_tokens
         self.does_stand = True
         self.chosen: list[str] = []
         self.expected: list[str] = []
@@ -82,13 +85,13 @@
             return Err(Refusal(ErrorKind.NO_WORKER))
         self.chosen.append(free[0])
         backend = Backend(free[0], "127.0.0.1:1", "z", "s", 4, False, {"l": 2}, 0)
-        return Ok(Choice(backend, "s", "l", 2, "salt", 0, 10, "", "", 1_000))
+        return Ok(Choice(backend, "s", "l", 2, "salt", 0, self.missing_tokens, "", "", 1_000))
 
     def stands(self, view: View, choice: Choice) -> bool:
         return self.does_stand
 
-    def expect(self, choice: Choice, request: OpaqueRequest) -> None:
-        self.expected.append(choice.backend.name)
+    def expect(self, worker: str, salt: str, parts: Iterable[str]) -> None:
+        self.expected.append(worker)
 
 
 class FakeDialect:
@@ -157,7 +160,8 @@
 
 class GateTest(unittest.IsolatedAsyncioTestCase):
     async def pass_through(
-        self, calls: list[FakeCall | None], key: str = "k", path: str = "/a/x", **fields: Any
+        self, calls: list[FakeCall | None], key: str = "k", path: str = "/a/x",
+        parts: tuple[PromptPart, ...] = (), tell: Callable[[ReadNote], None] = lambda note: None, **fields: Any,
     ) -> FakePen:
         bench = Bench()
         self.pool, self.placer, self.pen = FakePool(calls), getattr(self, "placer", FakePlacer()), FakePen()
@@ -165,8 +169,11 @@
         self.gate = Gate(
             bench, FakeCurrent(make_view(**fields)), self.placer, self.loads, self.pool,  # type: ignore[arg-type]
             FleetBudget(bench, 0.2, 50, 10 * SECOND), FakeDialect(), lambda: 1, lambda worker, head: None,
+            ReadBook(bench, self.placer.expect, tell),
+        )
+        request = OpaqueRequest(
+            "id", "POST", path, "h", path, HTTPHeaders(), b"", bench.now(), hash_key(key), parts=parts
         )
-        request = OpaqueRequest("id", "POST", path, "h", path, HTTPHeaders(), b"", bench.now(), hash_key(key))
         await self.gate.serve(request, self.pen)
         self.assertEqual(self.loads.own, {}, "use was not taken back")
         self.assertTrue(all(call.is_closed for call in self.pool.used))
@@ -266,6 +273,19 @@
         self.assertTrue(1_100_000 <= min(told) and max(told) < 1_700_000, told)
         self.assertGreater(max(told) - min(told), 400_000)
 
+    async def test_a_read_is_over_for_others_however_its_request_ends(self) -> None:
+        parts = (PromptPart("p0", 9_000), PromptPart("own", 10))
+        for calls, kept in (
+            ([FakeCall(HEAD, (b"".join(EVENTS),))], True), ([FakeCall(HEAD, (), whole=False)], False),
+            ([FakeCall((503, "", HTTPHeaders()))], False), ([FakeCall(None, late=True)], False),
+        ):
+            self.placer = FakePlacer(missing_tokens=9_010)
+            notes: list[ReadNote] = []
+            await self.pass_through(list(calls), parts=parts, tell=notes.append, tries=1, **STREAM)
+            self.assertEqual(len(notes), 2)
+            self.assertTrue(notes[-1].is_over)
+            self.assertEqual((notes[-1].is_kept, self.gate.reads.reads), (kept, {}))
+
     async def test_a_workers_own_failure_is_passed_on(self) -> None:
         failed = FakeCall((500, "Oh", HTTPHeaders({"Seal": "s"})), (b"why",))
         await self.pass_through([failed, FakeCall(HEAD)])
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -103,10 +103,9 @@
         self.assertNotEqual(self.choose(60, 40, 200).backend.name, "w5")
 
     def test_what_was_read_counts_as_kept_from_the_first_event_until_the_worker_tells(self) -> None:
-        request, choice = self.request(9_000, 500), self.choose(9_000, 500)
-        worker = choice.backend.name
+        worker = self.choose(9_000, 500).backend.name
         self.assertEqual(self.choose(9_000, 500).missing_tokens, 9_500, "it is not read yet")
-        self.placer.expect(choice, request)
+        self.placer.expect(worker, "salt", ["p0"])
         self.loads.begin(worker, 2_000, 9_600)
         again = self.choose(9_000, 500)
         self.assertEqual((again.backend.name, again.missing_tokens), (worker, 500))
--- /dev/null
+++ b/tests/test_read_book.py
@@ -0,0 +1,95 @@
+"""ReadBook: who waits for whose read, and what every end of a read leaves behind."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Sequence
+
+from tornado.httputil import HTTPHeaders
+
+from pearhead.awl.bench import Bench
+from pearhead.awl.clock import SECOND
+from pearhead.awl.wire_pb2 import ReadNote
+from pearhead.lathe.opaque import OpaqueRequest, PromptPart
+from pearhead.lathe.placer import Choice
+from pearhead.lathe.read_book import ReadBook
+from pearhead.lathe.worker_control import Backend
+
+
+def make_request(*tokens: int) -> OpaqueRequest:
+    parts = tuple(PromptPart(f"p{place}", count) for place, count in enumerate(tokens))
+    return OpaqueRequest("id", "POST", "/", "h", "/", HTTPHeaders(), b"", 0, parts=parts)
+
+
+def make_choice(missing_tokens: int, worker: str = "w1", salt: str = "salt") -> Choice:
+    return Choice(Backend(worker, "a", "z", "s", 4), "s", "l", 1, salt, 0, missing_tokens, "", "", 1)
+
+
+REQUEST, CHOICE = make_request(9_000, 500), make_choice(9_500)
+
+
+class ReadBookTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.told: list[ReadNote] = []
+        self.kept: list[tuple[str, str, list[str]]] = []
+        self.book = ReadBook(self.bench, self.expect, self.tell)
+
+    def tell(self, note: ReadNote) -> None:
+        copy = ReadNote()
+        copy.CopyFrom(note)
+        self.told.append(copy)
+
+    def expect(self, worker: str, salt: str, parts: Sequence[str]) -> None:
+        self.kept.append((worker, salt, list(parts)))
+
+    async def start_waiting(self, limit_micros: int = SECOND) -> asyncio.Task[bool]:
+        waiter = asyncio.create_task(self.book.wait_for(CHOICE, REQUEST, limit_micros))
+        await asyncio.sleep(0)
+        return waiter
+
+    async def test_a_read_of_this_node_is_waited_for_and_then_counts_as_kept(self) -> None:
+        read = self.book.begin(CHOICE, REQUEST)
+        assert read is not None
+        waiter = await self.start_waiting()
+        self.assertFalse(waiter.done())
+        read.end(True)
+        read.end(False)
+        self.assertTrue(await waiter)
+        self.assertEqual(self.kept, [("w1", "salt", ["p0"])])
+        self.assertEqual([(n.is_over, n.is_kept) for n in self.told], [(False, False), (True, True)])
+        self.assertEqual(self.book.reads, {})
+
+    async def test_a_read_that_fails_lets_go_of_who_waits_and_keeps_nothing(self) -> None:
+        read = self.book.begin(CHOICE, REQUEST)
+        assert read is not None
+        waiter = await self.start_waiting()
+        read.end(False)
+        self.assertTrue(await waiter)
+        self.assertEqual((self.kept, self.book.reads), ([], {}))
+
+    async def test_another_nodes_read_is_waited_for_until_its_end_is_told(self) -> None:
+        note = ReadNote(worker="w2", salt="salt", part=["p0"])
+        self.book.take(note)
+        waiter = await self.start_waiting()
+        self.assertFalse(waiter.done())
+        self.book.take(ReadNote(worker="w2", salt="salt", part=["p0"], is_over=True, is_kept=True))
+        self.assertTrue(await waiter)
+        self.assertEqual((self.kept, self.told), ([("w2", "salt", ["p0"])], []))
+
+    async def test_nobody_waits_for_a_read_whose_end_was_lost_nor_beyond_its_limit(self) -> None:
+        self.book.take(ReadNote(worker="w2", salt="salt", part=["p0"]))
+        self.assertFalse(await self.book.wait_for(CHOICE, REQUEST, 0))
+        self.assertTrue(await self.book.wait_for(CHOICE, REQUEST, 1))
+        self.bench.nowMicros += 2 * SECOND
+        self.assertFalse(await self.book.wait_for(CHOICE, REQUEST, SECOND))
+
+    async def test_other_parts_other_salts_and_short_reads_wait_for_nothing(self) -> None:
+        self.book.begin(CHOICE, REQUEST)
+        for choice, request in (
+            (make_choice(9_500, salt="other"), REQUEST), (make_choice(500), REQUEST),
+            (make_choice(9_500), make_request(9_500)), (make_choice(900), make_request(400, 500)),
+        ):
+            self.assertFalse(await self.book.wait_for(choice, request, SECOND))
+            self.assertIsNone(self.book.begin(choice, request) if choice.salt == "salt" else None)
