A node that starts holds callers who have no time to come back

Now a request with less than three times what callers are told (1 s) is held until the node knows what is in force, for half of its time and 1.2 s at most, looked at each 20 ms; those with more are refused at once as before.

--- a/src/pearhead/lathe/gate.py
+++ b/src/pearhead/lathe/gate.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
 
-from pearhead.awl.clock import MILLI, Clock
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
 from pearhead.awl.description import Route, Tenant
 from pearhead.awl.view import View
 from pearhead.lathe.errors import ErrorKind, Refusal
@@ -29,8 +29,13 @@
                "proxy-connection", "proxy-authenticate")
 SOON_MICROS = 120 * MILLI
 # A node that starts knows what is in force after about a second; those it refused do not come back all at once.
-NOT_CURRENT_MICROS = 1_100 * MILLI
+NOT_CURRENT_MICROS = SECOND
 NOT_CURRENT_SPREAD_MICROS = 600 * MILLI
+# Callers come back after a third of their time at the latest: one with less time would come too early, and is held.
+COME_BACK_SHARE = 3
+HELD_SHARE = 2
+HELD_MICROS = 1_200 * MILLI
+HELD_ROUND_MICROS = 20 * MILLI
 MOST_PLACEMENTS = 6
 
 
@@ -93,6 +98,7 @@
         passage = Passage(request, pen, EventSplitter(request.last_event_id))
         self.open_requests += 1
         try:
+            await self._hold_until_known(request, pen)
             looked = self._look(request)
             if isinstance(looked, Err):
                 return self._refuse(passage, looked.err_value)
@@ -132,6 +138,14 @@
 
     # ---- what is in force ------------------------------------------------------------------------
 
+    async def _hold_until_known(self, request: OpaqueRequest, pen: AnswerPen) -> None:
+        """On a node that starts, for a caller that has not the time to come back when it will know."""
+        if self.current.view() is not None or not 0 < request.wait_micros < COME_BACK_SHARE * NOT_CURRENT_MICROS:
+            return
+        end_micros = self.clock.now() + min(request.wait_micros // HELD_SHARE, HELD_MICROS)
+        while self.current.view() is None and self.clock.now() < end_micros and not pen.is_gone():
+            await rest(self.clock, HELD_ROUND_MICROS)
+
     def _look(self, request: OpaqueRequest) -> Result[Way, Refusal]:
         view = self.current.view()
         if view is None:
