Log lines of one form, with a time that can be read, and a line of counts a minute

Cause: the logging library writes its own %(asctime)s out of a buffer it has let go of: bytes at random before a comma and a number, on the platform and off it. Ruled out: the platform's clock (the same bytes come in a plain process) and the stream's encoding. The time is now written by our own formatter, UTC with microseconds, the text of a second made once. Every call is 'part: Sentence. name=value ...'; a test reads all calls of the sources, and finds planted ones of other forms. A call whose fields do not fit its text raised at the caller; now it logs that it could not be formed. StatsLog: outcomes, retries, connections, processor time since the line before, once a minute (GatewaySettings.log_stats_micros). Figures: 8 tests of it; before: no test read a line.

--- a/src/pearhead/anvil/core.py
+++ b/src/pearhead/anvil/core.py
@@ -128,7 +128,7 @@
         self.crew.start(self.directory.run())
         self.crew.start(self._come_in())
         self.crew.start(self._care_for_members())
-        LOGGER.info("anvil: Core %s listens on %s.", self.identity[:8], self.startup.address)
+        LOGGER.info("anvil: Listens. core=%s address=%s", self.identity[:8], self.startup.address)
 
     def stop(self) -> None:
         self.crew.stop()
@@ -425,7 +425,7 @@
             changed.member.append(Member(identity=identity, address=ask.address, voter=False, fresh=ask.fresh))
             outcome = await self.raft.change_members(changed)
             if not isinstance(outcome, Err):
-                LOGGER.info("anvil: Takes in core %s as a learner.", identity[:8])
+                LOGGER.info("anvil: Takes in a core as a learner. core=%s", identity[:8])
                 return JoinResult(taken=True)
             await rest(self.clock, CARE_MICROS)
         return JoinResult(leaderAddress=self.raft.leader_address())
@@ -461,7 +461,7 @@
             and (not m.voter or len(voters) > LEAST_VOTERS)
         ]
         if gone:
-            LOGGER.info("anvil: Lets go of core %s.", gone[0].identity[:8])
+            LOGGER.info("anvil: Lets go of a core. core=%s", gone[0].identity[:8])
             return await self._change([m for m in members.member if m != gone[0]], wanted)
         for member in members.member:
             if member.voter or not self._is_level(member.identity):
@@ -470,7 +470,7 @@
             grows = member.fresh and len(voters) < MOST_VOTERS and all(self._knows_members(v.identity) for v in voters)
             if len(voters) >= wanted and not lostVoters and not grows:
                 continue
-            LOGGER.info("anvil: Core %s gains its vote.", member.identity[:8])
+            LOGGER.info("anvil: A core gains its vote. core=%s", member.identity[:8])
             promoted = Member(identity=member.identity, address=member.address, voter=True)
             if not lostVoters:
                 wanted = max(wanted, len(voters) + 1)
--- a/src/pearhead/anvil/main.py
+++ b/src/pearhead/anvil/main.py
@@ -38,7 +38,7 @@
     failed = asyncio.Event()
 
     def fail(reason: str) -> None:
-        LOGGER.error("anvil: Must stop: %s.", reason)
+        LOGGER.error("anvil: Must stop. reason=%r", reason)
         failed.set()
 
     net = SocketNet(startup.address)
--- a/src/pearhead/awl/crew.py
+++ b/src/pearhead/awl/crew.py
@@ -33,4 +33,4 @@
             fault = ownTask.exception()
             assert fault is not None
             self.faults.append(fault)
-            LOGGER.error("%s: A task ended by %r.", self.prefix, fault, exc_info=fault)
+            LOGGER.error("%s: A task ended. fault=%r", self.prefix, fault, exc_info=fault)
--- a/src/pearhead/awl/daemon.py
+++ b/src/pearhead/awl/daemon.py
@@ -6,16 +6,48 @@
 import gc
 import signal
 import sys
+import time
+import traceback
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import picologging
 
 LOGGER = picologging.getLogger("pearhead")
+FORM_FAULT = "log: A line could not be formed."
+
+
+class LineFormatter(picologging.Formatter):
+    """`TIME LEVEL part: Short sentence. name=value ...` (§3.4).
+
+    The library's own `%(asctime)s` writes bytes of a buffer that it has let go of. The time here is the machine's
+    time of day in UTC: it is for readers and decides nothing. The text of one second is made once.
+    """
+
+    def __init__(self, now_nanos: Callable[[], int] = time.time_ns) -> None:
+        super().__init__()
+        self.now_nanos = now_nanos
+        self.second = -1
+        self.second_text = ""
+
+    def format(self, record: Any) -> str:
+        second, nanos = divmod(self.now_nanos(), 1_000_000_000)
+        if second != self.second:
+            self.second, self.second_text = second, time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
+        try:
+            message = record.getMessage()
+        except (TypeError, ValueError):
+            # A wrong call of the log is no reason to end what called it.
+            message = f"{FORM_FAULT} text={record.msg!r}"
+        line = f"{self.second_text}.{nanos // 1_000:06d}Z {record.levelname} {message}"
+        if not record.exc_info or record.exc_info[0] is None:
+            return line
+        return line + "\n" + "".join(traceback.format_exception(*record.exc_info)).rstrip("\n")
 
 
 def open_logs(levelName: str) -> None:
     handler = picologging.StreamHandler(sys.stderr)
-    handler.setFormatter(picologging.Formatter("%(asctime)s %(levelname)s %(message)s"))
+    handler.setFormatter(LineFormatter())
     LOGGER.handlers = [handler]
     LOGGER.setLevel(getattr(picologging, levelName))
 
--- a/src/pearhead/awl/disk.py
+++ b/src/pearhead/awl/disk.py
@@ -53,7 +53,7 @@
         except BlockingIOError as lockError:
             raise FolderBusy(f"data folder {folderPath} is held by another process") from lockError
         except OSError as lock_error:
-            LOGGER.warning("disk: The folder can't be locked, going on without: %s.", lock_error)
+            LOGGER.warning("disk: The folder can't be locked, going on without. fault=%r", lock_error)
         self.worker = concurrent.futures.ThreadPoolExecutor(1, "disk")
 
     def names(self) -> list[str]:
--- a/src/pearhead/awl/socketnet.py
+++ b/src/pearhead/awl/socketnet.py
@@ -209,7 +209,7 @@
             while True:
                 (frameSize,) = FRAME_HEADER.unpack(await streamReader.readexactly(FRAME_HEADER.size))
                 if frameSize > MAXIMUM_FRAME:
-                    LOGGER.warning("net: A frame of %d bytes was over the limit.", frameSize)
+                    LOGGER.warning("net: A frame was over the limit. bytes=%d", frameSize)
                     return
                 self.take(await streamReader.readexactly(frameSize))
         except (asyncio.IncompleteReadError, OSError):
--- a/src/pearhead/lathe/fleet_budget.py
+++ b/src/pearhead/lathe/fleet_budget.py
@@ -20,6 +20,7 @@
         self.slack = slack * self.USED_SHARE
         self.window_micros = window_micros
         self.credits: dict[str, tuple[float, int]] = {}
+        self.spent = 0
 
     def pay_in(self, service: str, node_count: int) -> None:
         credit = self._credit(service, node_count) + self.ratio
@@ -30,6 +31,7 @@
         if credit < 1.0:
             return False
         self.credits[service] = (credit - 1.0, self.clock.now())
+        self.spent += 1
         return True
 
     def _most(self, node_count: int) -> float:
--- a/src/pearhead/lathe/gateway.py
+++ b/src/pearhead/lathe/gateway.py
@@ -27,6 +27,7 @@
 from pearhead.lathe.roll_out import RollOut
 from pearhead.lathe.roster import RosterKeeper
 from pearhead.lathe.roster_recorder import RosterRecorder
+from pearhead.lathe.stats_log import StatsLog
 from pearhead.lathe.term import TermKeeper
 from pearhead.lathe.upstream import UpstreamPool
 from pearhead.lathe.version_book import VersionBook
@@ -42,13 +43,17 @@
 
 @dataclass(frozen=True)
 class GatewaySettings:
-    """`serve_on_micros`: how long a node serves by a view that it could not confirm since (§5.5)."""
+    """`serve_on_micros`: how long a node serves by a view that it could not confirm since (§5.5).
+
+    `log_stats_micros`: how often a line of counts is logged; never if it is 0.
+    """
 
     retry_ratio: float = 0.1
     retry_slack: int = 10
     retry_window_micros: int = 10 * SECOND
     serve_on_micros: int = 60 * SECOND
     list_micros: int = SECOND
+    log_stats_micros: int = 60 * SECOND
 
 
 class GatewayProcess:
@@ -96,6 +101,7 @@
         self.gate = Gate(
             clock, self, self.placer, self.loads, self.pool, budget, dialect, self._node_count, self._note_versions
         )
+        self.stats_log = StatsLog(clock, self.gate, self.pool, budget, settings.log_stats_micros)
         self.is_draining = False
         self.courier.on_tell("use_note", self._take_use)
 
@@ -103,9 +109,10 @@
         for work in (
             self.directory.run(), self.keeper.run(), self.listener.run(), self.rosters.run(),
             self.recorder.run(), self.gatherer.run(), self.roll_out.run(), self._tell_use(), self._sweep(),
+            self.stats_log.run(),
         ):
             self.crew.start(work)
-        LOGGER.info("lathe: Node %s listens on %s.", self.identity[:8], self.startup.address)
+        LOGGER.info("lathe: Listens. node=%s address=%s", self.identity[:8], self.startup.address)
 
     def stop(self) -> None:
         self.crew.stop()
--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -246,13 +246,13 @@
 
     async def _load(self, worker: WorkerFact, fence: int, line: str, weights: str, revision: int) -> None:
         try:
-            LOGGER.info("lathe: Loads %s on %s with fence %d.", weights, worker.name, fence)
+            LOGGER.info("lathe: Loads weights. worker=%s weights=%s fence=%d", worker.name, weights, fence)
             loaded = await self.link.load(
                 worker.address, fence, line, weights, LOAD_LIMIT_MICROS,
                 lambda: self._is_within_term(worker.name, fence),
             )
             if isinstance(loaded, Err):
-                LOGGER.warning("lathe: %s did not load: %s", worker.name, loaded.err_value)
+                LOGGER.warning("lathe: A worker did not load. worker=%s fault=%r", worker.name, str(loaded.err_value))
                 await rest(self.clock, POLL_MICROS)
                 return
             body = loaded.ok_value
@@ -349,7 +349,7 @@
     async def _bump_line(self, line: str) -> None:
         """The node that orders a roll-out sends the request for each part it knows of (§6.3)."""
         parts = self.index.parts_of_line(line)[:BUMP_LIMIT]
-        LOGGER.info("lathe: Bumps %d parts of %s for new weights.", len(parts), line)
+        LOGGER.info("lathe: Bumps parts for new weights. line=%s parts=%d", line, len(parts))
         for position in range(0, len(parts), PARTS_AT_ONCE):
             for part in parts[position : position + PARTS_AT_ONCE]:
                 self.crew.start(self.listener.bump(*part))
--- a/src/pearhead/lathe/node.py
+++ b/src/pearhead/lathe/node.py
@@ -88,7 +88,7 @@
             self.directory.run(), self.keeper.run(), self.listener.run(), self.holder.run(), self._review_queues()
         ):
             self.crew.start(work)
-        LOGGER.info("lathe: Node %s listens on %s.", self.identity[:8], self.startup.address)
+        LOGGER.info("lathe: Listens. node=%s address=%s", self.identity[:8], self.startup.address)
 
     async def wait_open(self) -> None:
         """A node takes connections once it can place jobs, or after a while to say why it can't (§8.1)."""
@@ -315,7 +315,8 @@
                     lineCount += 1
             raise CarryFault(CUT, "the stream ended without its closing line")
         except CarryFault as fault:
-            LOGGER.info("lathe: Job %s at %s: %s", job.jobId, worker.name, fault)
+            LOGGER.info("lathe: A job failed at a worker. job=%r worker=%s fault=%r",
+                        job.jobId, worker.name, str(fault))
             if fault.stage == WITHDRAWN:
                 placement.wasWithdrawn = True
                 return Err(Refusal(ErrorKind.NO_WORKER, fault.detail))
--- a/src/pearhead/lathe/roll_out.py
+++ b/src/pearhead/lathe/roll_out.py
@@ -172,7 +172,8 @@
         workers = [b for b in self._workers_of(line) if not self._is_leaving(b.name)]
         if not state.is_told:
             state.is_told = True
-            LOGGER.info("lathe: Brings %d workers of %s to version %d.", len(pending), line, state.wanted)
+            LOGGER.info("lathe: Brings workers to a version. line=%s version=%d workers=%d",
+                        line, state.wanted, len(pending))
         # Requests on older weights end soon after the naming: a worker not loaded by then serves nobody, so
         # nothing is spared by letting it wait.
         is_late = self.clock.now() - state.named_micros >= self.rush_micros
@@ -238,12 +239,12 @@
         order = LoadOrder(backend.name, line, wanted, self.identity, hold.fence)
         given = await self.control.order_load(backend.address, order, may_begin, ORDER_LIMIT_MICROS)
         if isinstance(given, Err):
-            LOGGER.warning("lathe: The order to %s got no answer: %s", backend.name, given.err_value)
+            LOGGER.warning("lathe: An order got no answer. worker=%s fault=%r", backend.name, given.err_value)
             return None
         if given.ok_value is OrderOutcome.OLDER_FENCE:
             self.holds.pop(backend.name, None)
         if given.ok_value not in (OrderOutcome.TAKEN, OrderOutcome.HOLDS_ALREADY):
-            LOGGER.warning("lathe: %s answered the order with %s.", backend.name, given.ok_value.value)
+            LOGGER.warning("lathe: An order was not taken. worker=%s outcome=%s", backend.name, given.ok_value.value)
         return given.ok_value
 
     async def _watch(self, line: str, backend: Backend, wanted: int, is_taken: bool) -> bool | None:
--- a/src/pearhead/lathe/roster.py
+++ b/src/pearhead/lathe/roster.py
@@ -199,7 +199,7 @@
             self.is_asker = False
             if self.failure_count in (1, 10):
                 why = given.err_value if isinstance(given, Err) else "it is empty"
-                LOGGER.warning("lathe: The list of workers gave nothing: %s.", why)
+                LOGGER.warning("lathe: The list of workers gave nothing. fault=%r", why)
             self._cast_vain()
             return
         self.failure_count = 0
@@ -276,7 +276,7 @@
         else:
             self.merge.take(listed, at_micros, self.clock.now())
         for name in before.backends.keys() - self.roster.backends.keys():
-            LOGGER.info("lathe: Worker %s is gone from the list.", name)
+            LOGGER.info("lathe: A worker is gone from the list. worker=%s", name)
         if self.roster is not before:
             for watcher in self.watchers:
                 watcher(self.roster)
--- /dev/null
+++ b/src/pearhead/lathe/stats_log.py
@@ -0,0 +1,71 @@
+"""StatsLog (§8.7): now and then one line of what a front node did since the line before."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import picologging
+
+from pearhead.awl.clock import MILLI, Clock, rest
+
+LOGGER = picologging.getLogger("pearhead")
+
+
+class CountsOutcomes(Protocol):
+    outcomes: dict[str, int]
+    open_requests: int
+
+
+class CountsConnections(Protocol):
+    opened: int
+    reused: int
+
+
+class CountsRetries(Protocol):
+    spent: int
+
+
+def processor_micros() -> int:
+    return time.process_time_ns() // 1_000
+
+
+class StatsLog:
+    """Reads counters that are kept anyway; a line costs some tens of microseconds, every `every_micros`."""
+
+    def __init__(
+        self, clock: Clock, gate: CountsOutcomes, pool: CountsConnections, budget: CountsRetries, every_micros: int,
+        processor: Callable[[], int] = processor_micros,
+    ) -> None:
+        self.clock = clock
+        self.gate = gate
+        self.pool = pool
+        self.budget = budget
+        self.every_micros = every_micros
+        self.processor = processor
+        self.told: dict[str, int] = {}
+        self.line_count = 0
+
+    async def run(self) -> None:
+        """Ends at once where no lines are wanted."""
+        self.told = self._counts()
+        while self.every_micros > 0:
+            await rest(self.clock, self.every_micros)
+            LOGGER.info("lathe: Counts since the line before. open=%d %s", self.gate.open_requests, self.take())
+
+    def take(self) -> str:
+        """`name=value` of what grew; what was told is not told again."""
+        self.line_count += 1
+        counts = self._counts()
+        grown = {name: count - self.told.get(name, 0) for name, count in counts.items()}
+        self.told = counts
+        return " ".join(f"{name}={count}" for name, count in grown.items())
+
+    def _counts(self) -> dict[str, int]:
+        counts = {
+            "retries": self.budget.spent, "opened": self.pool.opened, "reused": self.pool.reused,
+            "processor_ms": self.processor() // MILLI,
+        }
+        counts.update({f"outcome_{name}": count for name, count in sorted(self.gate.outcomes.items())})
+        return counts
--- a/src/pearhead/lathe/term.py
+++ b/src/pearhead/lathe/term.py
@@ -177,7 +177,8 @@
             self.namedAfter.setdefault((lineName, fact.revision), self.currentAt if self.hasView else LONG_AGO)
         self.hasView = True
         if nextView.descriptionRevision != oldRevision:
-            LOGGER.info("lathe: Description %d is in force.", nextView.descriptionRevision)
+            LOGGER.info("lathe: A description is in force. revision=%d number=%d",
+                        nextView.descriptionRevision, nextView.number)
 
     def _settle_marks(self) -> None:
         nowMicros = self.clock.now()
--- a/src/pearhead/rasp/listener.py
+++ b/src/pearhead/rasp/listener.py
@@ -116,8 +116,8 @@
                 if repair is not None:
                     if repair.revision != expectedRevision:
                         self.conflictCount += 1
-                        LOGGER.info("rasp: Part %d of %s/%s was changed by another as well.",
-                                    part, owner, line)
+                        LOGGER.info("rasp: A part was changed by another as well. owner=%s line=%s part=%d",
+                                    owner, line, part)
                     return repair.revision
         finally:
             self.openTransactions.discard(transaction)
--- a/src/pearhead/vise/raft.py
+++ b/src/pearhead/vise/raft.py
@@ -523,7 +523,7 @@
             self._become_leader()
 
     def _become_leader(self) -> None:
-        LOGGER.info("vise: Leads epoch %d.", self.epoch)
+        LOGGER.info("vise: Leads. epoch=%d", self.epoch)
         self.role = "leader"
         self.leaderIdentity = self.identity
         self.followers = {}
--- a/src/pearhead/vise/wal.py
+++ b/src/pearhead/vise/wal.py
@@ -183,7 +183,7 @@
             found = read_record(segmentBytes, offset)
             if found is None:
                 self._check_tail(segmentNumber, segmentBytes, offset, isLast)
-                LOGGER.warning("vise: Cut a torn tail of %d bytes.", len(segmentBytes) - offset)
+                LOGGER.warning("vise: Cut a torn tail. bytes=%d", len(segmentBytes) - offset)
                 await self.disk.truncate(segment_name(segmentNumber), offset)
                 break
             record, offset = found.record, found.endOffset
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,131 @@
+"""Logs (§3.4): the form of a line, the form of every call in the sources, and the lines of counts."""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+import io
+import re
+import unittest
+from collections.abc import Iterator
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import picologging
+
+from pearhead.awl.clock import SECOND
+from pearhead.awl.daemon import FORM_FAULT, LineFormatter
+from pearhead.jig.sim.world import World, pause, run_virtual
+from pearhead.lathe.stats_log import StatsLog
+
+ROOT = Path(__file__).resolve().parent.parent
+LEVELS = ("debug", "info", "warning", "error", "exception")
+PARTS = ("anvil", "daemon", "disk", "edge", "lathe", "log", "net", "rasp", "vise", "%s")
+TEXT = re.compile(rf"({'|'.join(PARTS)}): [A-Z][^%=]*\.( [a-z_]+=%[drs])*( %s)?")
+
+
+def log_texts(source: str) -> Iterator[tuple[int, str]]:
+    """The line and the first argument of each call of the logger; an empty text if that is no literal."""
+    for node in ast.walk(ast.parse(source)):
+        if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+            continue
+        owner = node.func.value
+        if node.func.attr in LEVELS and isinstance(owner, ast.Name) and owner.id == "LOGGER":
+            first = node.args[0] if node.args else None
+            text = first.value if isinstance(first, ast.Constant) else ""
+            yield node.lineno, text if isinstance(text, str) else ""
+
+
+def misformed(source: str) -> list[int]:
+    return [line for line, text in log_texts(source) if not TEXT.fullmatch(text)]
+
+
+class LineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.nanos = 1_796_182_604_250_765_999
+        self.written = io.StringIO()
+        handler = picologging.StreamHandler(self.written)
+        handler.setFormatter(LineFormatter(lambda: self.nanos))
+        self.logger = picologging.Logger("lines", picologging.INFO)
+        self.logger.handlers = [handler]
+
+    def lines(self) -> list[str]:
+        return self.written.getvalue().splitlines()
+
+    def test_a_line_is_time_level_part_sentence_and_fields(self) -> None:
+        self.logger.info("anvil: Listens. core=%s address=%s", "ab12", "10.0.0.1:70")
+        self.assertEqual(
+            self.lines(), ["2026-12-02T03:36:44.250765Z INFO anvil: Listens. core=ab12 address=10.0.0.1:70"]
+        )
+
+    def test_the_time_follows_the_clock_over_a_second_and_back(self) -> None:
+        for step in (0, 749_234_001, 1, -1_000_000_000):
+            self.nanos += step
+            self.logger.warning("vise: The disk is full.")
+        seconds = [line[17:27] for line in self.lines()]
+        self.assertEqual(seconds, ["44.250765Z", "45.000000Z", "45.000000Z", "44.000000Z"])
+
+    def test_a_fault_brings_its_traceback(self) -> None:
+        try:
+            raise ValueError("odd")
+        except ValueError:
+            self.logger.exception("edge: A request ended by a fault.")
+        self.assertEqual(self.lines()[1], "Traceback (most recent call last):")
+        self.assertEqual(self.lines()[-1], "ValueError: odd")
+
+    def test_a_call_that_can_not_be_formed_ends_nothing(self) -> None:
+        self.logger.info("net: A frame was over the limit. bytes=%d", "many")
+        self.assertIn(f"INFO {FORM_FAULT} text='net: A frame", self.lines()[0])
+
+
+class CallsTest(unittest.TestCase):
+    def test_every_call_has_the_fixed_form(self) -> None:
+        found = 0
+        for folder in ("src/pearhead", "platform"):
+            for path in sorted((ROOT / folder).rglob("*.py")):
+                source = path.read_text(encoding="utf-8")
+                found += len(list(log_texts(source)))
+                self.assertEqual(misformed(source), [], str(path))
+        self.assertGreater(found, 20)
+
+    def test_calls_of_another_form_are_found(self) -> None:
+        for call in (
+            'LOGGER.info("Listens.")', 'LOGGER.info("lathe: listens.")', 'LOGGER.info("lathe: Node %s listens.", 1)',
+            'LOGGER.info("lathe: Listens on: %s", 1)', 'LOGGER.info(f"lathe: Listens. at={x}")', "LOGGER.error(text)",
+            'LOGGER.info("lathe: Listens. At=%s", 1)',
+        ):
+            self.assertEqual(misformed(call), [1], call)
+        self.assertEqual(misformed('LOGGER.info("lathe: Listens. at=%s", 1)'), [])
+
+
+class StatsLogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.gate = SimpleNamespace(outcomes={"done": 5}, open_requests=2)
+        self.pool = SimpleNamespace(opened=3, reused=40)
+        self.budget = SimpleNamespace(spent=1)
+        self.processor = 7_000
+
+    def build(self, clock: Any, every_micros: int) -> StatsLog:
+        return StatsLog(clock, self.gate, self.pool, self.budget, every_micros, lambda: self.processor)
+
+    def test_a_line_tells_what_grew_since_the_one_before(self) -> None:
+        log = self.build(None, 0)
+        self.assertEqual(log.take(), "retries=1 opened=3 reused=40 processor_ms=7 outcome_done=5")
+        self.gate.outcomes.update(done=9, no_worker=1)
+        self.pool.reused, self.processor = 44, 9_500
+        self.assertEqual(
+            log.take(), "retries=0 opened=0 reused=4 processor_ms=2 outcome_done=4 outcome_no_worker=1"
+        )
+
+    def test_lines_come_as_often_as_set_or_never(self) -> None:
+        async def play(world: World) -> None:
+            machine = world.machine("node-1")
+            machine.boot()
+            logs = [self.build(machine, every) for every in (20 * SECOND, 0)]
+            for log in logs:
+                asyncio.get_running_loop().create_task(log.run())
+            await pause(world, 70 * SECOND)
+            self.assertEqual([log.line_count for log in logs], [3, 0])
+
+        run_virtual(1, play)
