Lines of counts tell processor time by the kernel's books

Ruled out: the thread's clock (the same), /proc/self/stat (whole hundredths). Outcomes are now ended_NAME, as one of them is called outcome_unknown.

--- a/src/pearhead/lathe/stats_log.py
+++ b/src/pearhead/lathe/stats_log.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
+import resource
 from collections.abc import Callable
 from typing import Protocol
 
 import picologging
 
-from pearhead.awl.clock import MILLI, Clock, rest
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
 
 LOGGER = picologging.getLogger("pearhead")
 
@@ -28,7 +28,9 @@
 
 
 def processor_micros() -> int:
-    return time.process_time_ns() // 1_000
+    """By the kernel's books: where the process clock is not to be had, `time.process_time` is the steady clock."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return round((usage.ru_utime + usage.ru_stime) * SECOND)
 
 
 class StatsLog:
@@ -67,5 +69,5 @@
             "retries": self.budget.spent, "opened": self.pool.opened, "reused": self.pool.reused,
             "processor_ms": self.processor() // MILLI,
         }
-        counts.update({f"outcome_{name}": count for name, count in sorted(self.gate.outcomes.items())})
+        counts.update({f"ended_{name}": count for name, count in sorted(self.gate.outcomes.items())})
         return counts
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -6,6 +6,7 @@
 import asyncio
 import io
 import re
+import threading
 import unittest
 from collections.abc import Iterator
 from pathlib import Path
@@ -14,10 +15,10 @@
 
 import picologging
 
-from pearhead.awl.clock import SECOND
+from pearhead.awl.clock import MILLI, SECOND
 from pearhead.awl.daemon import FORM_FAULT, LineFormatter
 from pearhead.jig.sim.world import World, pause, run_virtual
-from pearhead.lathe.stats_log import StatsLog
+from pearhead.lathe.stats_log import StatsLog, processor_micros
 
 ROOT = Path(__file__).resolve().parent.parent
 LEVELS = ("debug", "info", "warning", "error", "exception")
@@ -111,13 +112,20 @@
 
     def test_a_line_tells_what_grew_since_the_one_before(self) -> None:
         log = self.build(None, 0)
-        self.assertEqual(log.take(), "retries=1 opened=3 reused=40 processor_ms=7 outcome_done=5")
+        self.assertEqual(log.take(), "retries=1 opened=3 reused=40 processor_ms=7 ended_done=5")
         self.gate.outcomes.update(done=9, no_worker=1)
         self.pool.reused, self.processor = 44, 9_500
         self.assertEqual(
-            log.take(), "retries=0 opened=0 reused=4 processor_ms=2 outcome_done=4 outcome_no_worker=1"
+            log.take(), "retries=0 opened=0 reused=4 processor_ms=2 ended_done=4 ended_no_worker=1"
         )
 
+    def test_processor_time_is_no_time_of_waiting(self) -> None:
+        began = processor_micros()
+        threading.Event().wait(0.2)
+        self.assertLess(processor_micros() - began, 150 * MILLI)
+        while processor_micros() - began < 20 * MILLI:
+            pass
+
     def test_lines_come_as_often_as_set_or_never(self) -> None:
         async def play(world: World) -> None:
             machine = world.machine("node-1")
