--- a/src/pearhead/lathe/gateway.py
+++ b/src/pearhead/lathe/gateway.py
@@ -14,7 +14,7 @@
 from pearhead.awl.net import Net
 from pearhead.awl.startup import Startup
 from pearhead.awl.view import View
-from pearhead.awl.wire_pb2 import Record, UseNote
+from pearhead.awl.wire_pb2 import KeptNote, Record, UseNote
 from pearhead.lathe.core_commander import CoreCommander
 from pearhead.lathe.fleet_budget import FleetBudget
 from pearhead.lathe.gate import Gate
@@ -24,6 +24,7 @@
 from pearhead.lathe.opaque import AnswerHead, Dialect
 from pearhead.lathe.part_salt import PartSalt
 from pearhead.lathe.placer import Placer
+from pearhead.lathe.relay import Relay
 from pearhead.lathe.roll_out import RollOut
 from pearhead.lathe.roster import RosterKeeper
 from pearhead.lathe.roster_recorder import RosterRecorder
@@ -32,13 +33,14 @@
 from pearhead.lathe.upstream import UpstreamPool
 from pearhead.lathe.version_book import VersionBook
 from pearhead.lathe.weights_clock import WeightsClock
-from pearhead.lathe.worker_control import WorkerControl
+from pearhead.lathe.worker_control import Backend, WorkerControl
 from pearhead.rasp.listener import Listener
 
 LOGGER = picologging.getLogger("pearhead")
 USE_MICROS = 50 * MILLI
 USE_REPEAT_MICROS = 600 * MILLI
 SWEEP_MICROS = SECOND
+SAMPLE_SIZE = 3
 
 
 @dataclass(frozen=True)
@@ -53,6 +55,7 @@
     retry_window_micros: int = 10 * SECOND
     serve_on_micros: int = 60 * SECOND
     list_micros: int = SECOND
+    least_kept_tokens: int = 512
     log_stats_micros: int = 60 * SECOND
 
 
@@ -64,6 +67,7 @@
         self.startup = startup
         self.settings = settings
         self.clock = clock
+        self.chance = chance
         self.crew = Crew("lathe")
         self.identity = chance.randbytes(12).hex()
         self.courier = Courier(self.identity, startup.address, net, clock)
@@ -84,7 +88,10 @@
         self.rosters.watchers.append(self.versions.take_roster)
         self.gatherer = KeptGatherer(
             self.identity, self.courier, self.directory, clock, self.crew, control, self.rosters, self.keeper,
-            self.index,
+            self.index, spread=self._spread_kept, least_tokens=settings.least_kept_tokens,
+        )
+        self.relay = Relay(
+            self.identity, startup.area, self.courier, self.directory, clock, self.loads, self.gatherer.take_note
         )
         commander = CoreCommander(self.keeper, self.courier, chance)
         self.recorder = RosterRecorder(self.rosters, self.keeper, commander, clock)
@@ -95,7 +102,7 @@
         self.pool = UpstreamPool(clock)
         self.placer = Placer(
             clock, startup.area, lambda: self.rosters.roster, self.versions, self.index, self.loads,
-            PartSalt(self.listener), self.weights.may_use,
+            PartSalt(self.listener), self.weights.may_use, self._sample,
         )
         budget = FleetBudget(clock, settings.retry_ratio, settings.retry_slack, settings.retry_window_micros)
         self.gate = Gate(
@@ -108,8 +115,8 @@
     def start(self) -> None:
         for work in (
             self.directory.run(), self.keeper.run(), self.listener.run(), self.rosters.run(),
-            self.recorder.run(), self.gatherer.run(), self.roll_out.run(), self._tell_use(), self._sweep(),
-            self.stats_log.run(),
+            self.recorder.run(), self.gatherer.run(), self.roll_out.run(), self._tell_use(), self.relay.run(),
+            self._sweep(), self.stats_log.run(),
         ):
             self.crew.start(work)
         LOGGER.info("lathe: Listens. node=%s address=%s", self.identity[:8], self.startup.address)
@@ -148,12 +155,23 @@
     def _take_use(self, identity: str, address: str, note: UseNote) -> None:
         self.loads.take(identity, note)
 
+    def _sample(self, backends: list[Backend]) -> list[Backend]:
+        """Many nodes with the same late word of all would all send to the same worker: each looks at a few (§8.8)."""
+        if not self.relay.is_active() or len(backends) <= SAMPLE_SIZE:
+            return backends
+        return self.chance.sample(backends, SAMPLE_SIZE)
+
+    def _spread_kept(self, note: KeptNote) -> bool:
+        return self.relay.spread_kept(note)
+
     async def _tell_use(self) -> None:
         """What this node has at workers, to all nodes, when it changed and now and then (§8.8)."""
         told_micros = 0
         while True:
             await rest(self.clock, USE_MICROS)
             now_micros = self.clock.now()
+            if self.relay.is_active():
+                continue
             if self.loads.is_changed or (self.loads.own and now_micros - told_micros > USE_REPEAT_MICROS):
                 told_micros = now_micros
                 addresses = [r.address for r in self.directory.members("lathe")]
