--- /dev/null
+++ b/tests/test_platform_signals.py
@@ -0,0 +1,113 @@
+"""The programs of `platform/` as processes: signals, exit status, and what they log (docs/operating.md §6)."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import IO, Any
+
+ROOT = Path(__file__).resolve().parent.parent
+LINE = re.compile(r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{6}Z (INFO|WARNING|ERROR) [a-z]+: [A-Z].*")
+WAIT_SECONDS = 20.0
+
+
+def status_of(address: str, path: str) -> int:
+    try:
+        with urllib.request.urlopen(f"http://{address}{path}", timeout=2) as answer:
+            return int(answer.status)
+    except urllib.error.HTTPError as refused:
+        return refused.code
+
+
+class ProgramsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.started = 0
+        self.host = f"127.{random.randrange(20, 220)}.{random.randrange(250)}.{random.randrange(2, 250)}"
+
+    def start(self, program: str, **settings: Any) -> tuple[subprocess.Popen[bytes], Path]:
+        told = {"Ip": self.host, "Zone": "a", "PortRange": [7640, 7655], "SeedNodes": [f"{self.host}:8169"], **settings}
+        self.started += 1
+        settings_path, log_path = self.folder / f"settings-{self.started}", self.folder / f"log-{self.started}"
+        settings_path.write_text(json.dumps(told))
+        log: IO[bytes] = log_path.open("wb")
+        self.addCleanup(log.close)
+        process = subprocess.Popen(
+            [sys.executable, f"platform/{program}"], cwd=ROOT, stderr=log,
+            env={**os.environ, "PEARHEAD_NODE_FILE": str(settings_path)},
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process, log_path
+
+    def wait_for(self, log_path: Path, text: str) -> None:
+        end_seconds = time.monotonic() + WAIT_SECONDS
+        while text not in log_path.read_text():
+            self.assertLess(time.monotonic(), end_seconds, log_path.read_text())
+            time.sleep(0.05)
+
+    def check_log(self, log_path: Path) -> None:
+        for line in log_path.read_text().splitlines():
+            self.assertRegex(line, LINE)
+
+    def test_a_front_node_outlives_a_change_of_its_settings_and_drains(self) -> None:
+        addresses = {"Front": f"{self.host}:8167", "Readiness": f"{self.host}:8162"}
+        process, log_path = self.start(
+            "run_lathe.py", Serves=["front"], BindAddresses=addresses, CloudApi={"Address": f"{self.host}:8161"},
+        )
+        self.wait_for(log_path, "lathe: Listens.")
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        self.assertIsNone(process.poll())
+        self.assertEqual(status_of(addresses["Readiness"], "/v1/readiness"), 503)
+        self.assertEqual(status_of(addresses["Front"], "/x/"), 503)
+        process.send_signal(signal.SIGTERM)
+        self.wait_for(log_path, "daemon: Drains.")
+        self.assertEqual(status_of(addresses["Front"], "/x/"), 503, "callers still come while it drains")
+        self.assertEqual(process.wait(WAIT_SECONDS), 0)
+        self.check_log(log_path)
+
+    def test_a_core_outlives_a_change_of_its_settings_and_stops(self) -> None:
+        data_folder = self.folder / "data"
+        data_folder.mkdir()
+        process, log_path = self.start(
+            "run_anvil.py", Serves=["control"], BindAddresses={"Control": f"{self.host}:8169"},
+            DataDir=str(data_folder), FirstStart=True,
+        )
+        self.wait_for(log_path, "vise: Leads.")
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        self.assertIsNone(process.poll())
+        self.assertEqual(status_of(f"{self.host}:8169", "/v1/config"), 404)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(WAIT_SECONDS), 0)
+        self.check_log(log_path)
+
+    def test_an_address_in_use_is_told_in_one_line(self) -> None:
+        data_folder = self.folder / "data"
+        data_folder.mkdir()
+        settings: dict[str, Any] = {
+            "Serves": ["control"], "BindAddresses": {"Control": f"{self.host}:8169"}, "FirstStart": True,
+        }
+        _, log_path = self.start("run_anvil.py", DataDir=str(data_folder), **settings)
+        self.wait_for(log_path, "vise: Leads.")
+        other_folder = self.folder / "other"
+        other_folder.mkdir()
+        second, second_log = self.start("run_anvil.py", DataDir=str(other_folder), **settings)
+        self.assertEqual(second.wait(WAIT_SECONDS), 2)
+        lines = second_log.read_text().splitlines()
+        self.assertEqual(len(lines), 1, lines)
+        self.assertIn("core: can't start:", lines[0])
