--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -90,6 +90,15 @@
                 self.assertEqual(misformed(source), [], str(path))
         self.assertGreater(found, 20)
 
+    def test_every_sentence_stands_on_the_operators_page(self) -> None:
+        page = (ROOT / "docs" / "operating.md").read_text(encoding="utf-8")
+        for path in sorted((ROOT / "src" / "pearhead").rglob("*.py")):
+            if "jig" in path.parts:
+                continue
+            for _, text in log_texts(path.read_text(encoding="utf-8")):
+                sentence = re.sub(r" [a-z_]+=.*", "", text.partition(": ")[2])
+                self.assertIn(f"`{sentence}`", page, path.name)
+
     def test_calls_of_another_form_are_found(self) -> None:
         for call in (
             'LOGGER.info("Listens.")', 'LOGGER.info("lathe: listens.")', 'LOGGER.info("lathe: Node %s listens.", 1)',
