Taking purge out of the way of requests breaks STALE and WALL, shown on emulated memory

One worker after another over one store: with the salts of purge no fetch across weights or owners, with one salt for all the checkers find STALE and WALL. Found on the way: the test's own time jumped to the deadline before the fetch began.

--- /dev/null
+++ b/tests/test_purge_on_the_way.py
@@ -0,0 +1,155 @@
+"""Purge on the ordinary path: placing and fetching ask it for each request, and without it STALE or WALL breaks."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections.abc import Sequence
+from typing import Any, cast
+
+from tornado.httputil import HTTPHeaders
+
+from pearhead.awl.bench import Bench
+from pearhead.awl.clock import SECOND
+from pearhead.awl.description import Description, Route, Service, Split, Tenant
+from pearhead.awl.view import View
+from pearhead.awl.wire_pb2 import KeptNote, ModelNote
+from pearhead.awl.wire_pb2 import KeptPart as ToldPart
+from pearhead.jig.site.checkers import find_breaches
+from pearhead.jig.site.engine import EngineModel, EngineRequest, EngineSettings, FetchWanted, PartNeed, SaveWanted
+from pearhead.jig.site.keptparts import KeptPart
+from pearhead.jig.site.ledger import ConfigSent, Record, SiteLedger
+from pearhead.lathe.kept_index import KeptIndex
+from pearhead.lathe.load_book import LoadBook
+from pearhead.lathe.opaque import OpaqueRequest, PromptPart
+from pearhead.lathe.part_salt import PartSalt, SaltText
+from pearhead.lathe.placer import Choice, Placer
+from pearhead.lathe.roster import Roster
+from pearhead.lathe.version_book import VersionBook
+from pearhead.lathe.worker_control import Backend
+from pearhead.rasp.listener import Listener
+
+PARTS = (PromptPart("a1", 12_000), PromptPart("b2", 300))
+TENANTS = {
+    "apart": Tenant("apart", ["0"]), "one": Tenant("one", ["1"], "shared"), "two": Tenant("two", ["2"], "shared"),
+}
+ROUTE = Route("r", "h", "/", [Split("s", 1)], SECOND, stream=True)
+
+
+class FreshListener:
+    """All parts at the first revision, unless told otherwise; known to be current."""
+
+    def __init__(self) -> None:
+        self.revisions: dict[int, int | None] = {}
+
+    def revision_of(self, owner: str, line: str, part: int) -> int | None:
+        return self.revisions.get(part, 1)
+
+    def last_revision_of(self, owner: str, line: str, part: int) -> int:
+        return self.revisions.get(part) or 1
+
+
+class PurgeTakenOut(PartSalt):
+    def salt(
+        self, view: View, tenant: Tenant | None, line: str, version: int, parts: Sequence[PromptPart]
+    ) -> SaltText:
+        return SaltText("one salt for all", True)
+
+
+class Site:
+    """A store and one worker at a time, and a node's placing; the memory is the emulated engine's."""
+
+    def __init__(self, salt_type: type[PartSalt]) -> None:
+        self.bench = Bench()
+        self.listener = FreshListener()
+        self.records: list[Record] = []
+        self.store: dict[tuple[str, str, str], KeptPart] = {}
+        self.index = KeptIndex()
+        self.book = VersionBook(self.bench)
+        self.backends: dict[str, Backend] = {}
+        self.view = View()
+        self.view.__dict__["description"] = Description(
+            services=[
+                Service("s", "model", ["l"], 99, 12, 140_000, 163_840, 1_100_000.0, 12),
+                Service("k", "store", store_address="10.0.0.9:1", store_zone="z", link_mbps=300_000.0),
+            ],
+            tenants=list(TENANTS.values()), routes=[ROUTE],
+        )
+        self.placer = Placer(
+            self.bench, "z", lambda: Roster(self.backends, self.bench.now()), self.book, self.index,
+            LoadBook(self.bench), salt_type(cast(Listener, self.listener)), lambda view, line, version: True,
+        )
+
+    def take(self, record: Record) -> None:
+        self.records.append(record)
+
+    def start_worker(self, name: str, version: int) -> EngineModel:
+        self.backends = {name: Backend(name, "10.0.0.1:1", "z", "s", 12, False, {"l": version})}
+        self.book.take_note(ModelNote(worker=name, line="l", version=version))
+        return EngineModel(EngineSettings(), name, name, "s", "l", version, random.Random(1), self)
+
+    def run(self, engine: EngineModel, request_id: str, tenant: str) -> Choice:
+        request = OpaqueRequest(request_id, "POST", "/", "h", "/", HTTPHeaders(), b"", 0, line="l", parts=PARTS)
+        choice = self.placer.choose(self.view, ROUTE, request, TENANTS[tenant], frozenset()).unwrap()
+        prompt = request.prompt_tokens()
+        engine.submit(self.bench.now(), EngineRequest(
+            request_id, tenant, choice.salt, "l", tuple(PartNeed(p.part, p.tokens) for p in PARTS), prompt, 5,
+            self.bench.now() + 9 * SECOND, expected_version=choice.version or 0, source=choice.fetch_from,
+            target=choice.save_to,
+        ))
+        self._advance(engine)
+        while (due := engine.next_at()) is not None:
+            self.bench.nowMicros = max(self.bench.nowMicros, due)
+            self._advance(engine)
+        return choice
+
+    def _advance(self, engine: EngineModel) -> None:
+        for output in engine.advance(self.bench.now()):
+            self._answer(engine, output)
+
+    def _answer(self, engine: EngineModel, output: Any) -> None:
+        if isinstance(output, FetchWanted):
+            found = [self.store[key] for key in output.keys if key in self.store]
+            engine.take_fetch(self.bench.now(), output.ticket, found)
+        elif isinstance(output, SaveWanted):
+            self.store.update({part.key: part for part in output.parts})
+            note = KeptNote(worker="k", life="1", from_sequence=len(self.store) - 1, sequence=len(self.store), part=[
+                ToldPart(salt=p.salt, part=p.part, tokens=p.tokens, line=p.model) for p in output.parts
+            ])
+            note.whole = True
+            self.index.take(note)
+
+    def breaches(self) -> set[str]:
+        ledger = SiteLedger(self.records)
+        ledger.configs.append(ConfigSent(0, 1, 1, 0, 200, {"Tenants": [
+            {"Name": tenant.name, "Isolated": not tenant.group} for tenant in TENANTS.values()
+        ], "RouteTable": [], "Services": []}))
+        return {breach.rule for breach in find_breaches(ledger)}
+
+
+class PurgeOnTheWayTest(unittest.TestCase):
+    def play(self, salt_type: type[PartSalt], first: str, second: str, version: int) -> tuple[Site, Choice]:
+        site = Site(salt_type)
+        site.run(site.start_worker("w1", 1), "r1", first)
+        choice = site.run(site.start_worker("w2", version), "r2", second)
+        return site, choice
+
+    def test_the_store_serves_the_same_owner_on_the_same_weights(self) -> None:
+        site, choice = self.play(PartSalt, "one", "two", 1)
+        self.assertEqual((choice.fetch_from, site.breaches() & {"STALE", "WALL"}), ("10.0.0.9:1", set()))
+
+    def test_other_weights_and_other_owners_find_nothing(self) -> None:
+        for first, second, version in (("one", "two", 2), ("apart", "one", 1), ("one", "apart", 1)):
+            site, choice = self.play(PartSalt, first, second, version)
+            self.assertEqual((choice.fetch_from, site.breaches() & {"STALE", "WALL"}), ("", set()))
+
+    def test_taken_out_it_breaks_the_rules(self) -> None:
+        self.assertIn("STALE", self.play(PurgeTakenOut, "one", "two", 2)[0].breaches())
+        self.assertIn("WALL", self.play(PurgeTakenOut, "apart", "one", 1)[0].breaches())
+
+    def test_a_changed_part_and_unknown_freshness_plan_no_fetch(self) -> None:
+        for revision in (2, None):
+            site = Site(PartSalt)
+            site.run(site.start_worker("w1", 1), "r1", "one")
+            site.listener.revisions[0xA1] = revision
+            self.assertEqual(site.run(site.start_worker("w2", 1), "r2", "two").fetch_from, "")
