--- a/src/pearhead/lathe/gate.py
+++ b/src/pearhead/lathe/gate.py
@@ -19,7 +19,7 @@
 from pearhead.lathe.fleet_budget import FleetBudget
 from pearhead.lathe.load_book import LoadBook
 from pearhead.lathe.opaque import AnswerHead, AnswerPen, Dialect, Directions, OpaqueRequest, Verdict
-from pearhead.lathe.placer import Choice, Placer
+from pearhead.lathe.placer import LONG_TOKENS, Choice, Placer
 from pearhead.lathe.upstream import UpstreamCall, UpstreamPool
 
 LOGGER = picologging.getLogger("pearhead")
@@ -27,7 +27,9 @@
 HOP_HEADERS = ("connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade",
                "proxy-connection", "proxy-authenticate")
 SOON_MICROS = 120 * MILLI
-NO_TRIES_MICROS = 250 * MILLI
+# A node that starts knows what is in force after about a second; those it refused do not come back all at once.
+NOT_CURRENT_MICROS = 1_100 * MILLI
+NOT_CURRENT_SPREAD_MICROS = 600 * MILLI
 MOST_PLACEMENTS = 6
 
 
@@ -68,6 +70,7 @@
         self, clock: Clock, current: CurrentView, placer: Placer, loads: LoadBook, pool: UpstreamPool,
         budget: FleetBudget, dialect: Dialect, node_count: Callable[[], int],
         note_versions: Callable[[str, AnswerHead], None],
+        tell_long_read: Callable[[], None] = lambda: None,
     ) -> None:
         self.clock = clock
         self.current = current
@@ -78,6 +81,7 @@
         self.dialect = dialect
         self.node_count = node_count
         self.note_versions = note_versions
+        self.tell_long_read = tell_long_read
         self.open_requests = 0
         self.outcomes: dict[str, int] = {}
 
@@ -123,7 +127,8 @@
     def _look(self, request: OpaqueRequest) -> Result[Way, Refusal]:
         view = self.current.view()
         if view is None:
-            return Err(Refusal(ErrorKind.NOT_CURRENT, "this node does not know what is in force", 500 * MILLI))
+            back_micros = NOT_CURRENT_MICROS + _spread(request.request_id, NOT_CURRENT_SPREAD_MICROS)
+            return Err(Refusal(ErrorKind.NOT_CURRENT, "this node does not know what is in force", back_micros))
         limits = view.description.limits
         if limits.body_bytes and len(request.body) > limits.body_bytes:
             return Err(Refusal(ErrorKind.TOO_LARGE, "the body is over the limit"))
@@ -183,6 +188,8 @@
             passage.may_have_run = True
             waiting.begin()
             call.send(request.method, request.target, headers, request.body)
+            if choice.missing_tokens >= LONG_TOKENS:
+                self.tell_long_read()
             return await self._relay(passage, way, choice, directions, call, waiting, sent_micros)
         except TimeoutError:
             return Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
@@ -236,7 +243,10 @@
                 continue
             if waiting.is_waiting:
                 waiting.first_event()
-                self.loads.learn_pace(worker, choice.expected_micros, self.clock.now() - sent_micros)
+                self.placer.expect(choice, passage.request)
+                self.loads.learn_pace(
+                    worker, choice.missing_tokens, choice.expected_micros, self.clock.now() - sent_micros
+                )
             if not passage.has_begun:
                 passage.has_begun = True
                 pen.begin(head.status, head.reason, _passed_on(head.headers))
@@ -355,6 +365,11 @@
     return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
 
 
+def _spread(request_id: str, span_micros: int) -> int:
+    """A share of the span that is the request's own, so that the same request is always told the same."""
+    return int.from_bytes(hashlib.blake2b(request_id.encode(), digest_size=4).digest(), "big") * span_micros >> 32
+
+
 def _may_repeat(route: Route) -> bool:
     return route.repeatable or (route.stream and route.resumable)
 
