--- a/src/pearhead/lathe/gate.py
+++ b/src/pearhead/lathe/gate.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
 
-from pearhead.awl.clock import MILLI, Clock
+from pearhead.awl.clock import MILLI, SECOND, Clock, rest
 from pearhead.awl.description import Route, Tenant
 from pearhead.awl.view import View
 from pearhead.lathe.errors import ErrorKind, Refusal
@@ -19,7 +19,8 @@
 from pearhead.lathe.fleet_budget import FleetBudget
 from pearhead.lathe.load_book import LoadBook
 from pearhead.lathe.opaque import AnswerHead, AnswerPen, Dialect, Directions, OpaqueRequest, Verdict
-from pearhead.lathe.placer import LONG_TOKENS, Choice, Placer
+from pearhead.lathe.placer import Choice, Placer
+from pearhead.lathe.read_book import LongRead, ReadBook
 from pearhead.lathe.upstream import UpstreamCall, UpstreamPool
 
 LOGGER = picologging.getLogger("pearhead")
@@ -28,8 +29,13 @@
                "proxy-connection", "proxy-authenticate")
 SOON_MICROS = 120 * MILLI
 # A node that starts knows what is in force after about a second; those it refused do not come back all at once.
-NOT_CURRENT_MICROS = 1_100 * MILLI
+NOT_CURRENT_MICROS = SECOND
 NOT_CURRENT_SPREAD_MICROS = 600 * MILLI
+# Callers come back after a third of their time at the latest: one with less time would come too early, and is held.
+COME_BACK_SHARE = 3
+HELD_SHARE = 2
+HELD_MICROS = 1_200 * MILLI
+HELD_ROUND_MICROS = 20 * MILLI
 MOST_PLACEMENTS = 6
 
 
@@ -42,7 +48,8 @@
 
 @dataclass
 class Passage:
-    """One request on its way. `may_have_run`: a worker may have begun it; `has_begun`: the caller has a head."""
+    """One request on its way. `may_have_run`: a worker may have begun it; `has_begun`: the caller has a head;
+    `is_fresh`: it was sent to no worker and waited for no other's read."""
 
     request: OpaqueRequest
     pen: AnswerPen
@@ -53,6 +60,7 @@
     may_have_run: bool = False
     had_run: bool = False
     has_begun: bool = False
+    is_fresh: bool = True
     is_done: bool = False
     tried: set[str] = field(default_factory=set)
     retry_micros: int = SOON_MICROS
@@ -70,7 +78,7 @@
         self, clock: Clock, current: CurrentView, placer: Placer, loads: LoadBook, pool: UpstreamPool,
         budget: FleetBudget, dialect: Dialect, node_count: Callable[[], int],
         note_versions: Callable[[str, AnswerHead], None],
-        tell_long_read: Callable[[], None] = lambda: None,
+        reads: ReadBook | None = None,
     ) -> None:
         self.clock = clock
         self.current = current
@@ -81,7 +89,7 @@
         self.dialect = dialect
         self.node_count = node_count
         self.note_versions = note_versions
-        self.tell_long_read = tell_long_read
+        self.reads = reads or ReadBook(clock, placer.expect, lambda note: None)
         self.open_requests = 0
         self.outcomes: dict[str, int] = {}
 
@@ -90,6 +98,7 @@
         passage = Passage(request, pen, EventSplitter(request.last_event_id))
         self.open_requests += 1
         try:
+            await self._hold_until_known(request, pen)
             looked = self._look(request)
             if isinstance(looked, Err):
                 return self._refuse(passage, looked.err_value)
@@ -116,7 +125,12 @@
                 if isinstance(chosen, Err):
                     last = chosen.err_value
                     break
-                last = await self._carry(passage, way, chosen.ok_value)
+                choice = chosen.ok_value
+                if passage.is_fresh and await self.reads.wait_for(choice, request, left_micros // 4):
+                    passage.is_fresh = False
+                    continue
+                passage.is_fresh = False
+                last = await self._carry(passage, way, choice)
             if not passage.is_done:
                 self._give_up(passage, last)
         finally:
@@ -124,6 +138,14 @@
 
     # ---- what is in force ------------------------------------------------------------------------
 
+    async def _hold_until_known(self, request: OpaqueRequest, pen: AnswerPen) -> None:
+        """On a node that starts, for a caller that has not the time to come back when it will know."""
+        if self.current.view() is not None or not 0 < request.wait_micros < COME_BACK_SHARE * NOT_CURRENT_MICROS:
+            return
+        end_micros = self.clock.now() + min(request.wait_micros // HELD_SHARE, HELD_MICROS)
+        while self.current.view() is None and self.clock.now() < end_micros and not pen.is_gone():
+            await rest(self.clock, HELD_ROUND_MICROS)
+
     def _look(self, request: OpaqueRequest) -> Result[Way, Refusal]:
         view = self.current.view()
         if view is None:
@@ -188,8 +210,7 @@
             passage.may_have_run = True
             waiting.begin()
             call.send(request.method, request.target, headers, request.body)
-            if choice.missing_tokens >= LONG_TOKENS:
-                self.tell_long_read()
+            waiting.read = self.reads.begin(choice, request)
             return await self._relay(passage, way, choice, directions, call, waiting, sent_micros)
         except TimeoutError:
             return Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
@@ -243,7 +264,7 @@
                 continue
             if waiting.is_waiting:
                 waiting.first_event()
-                self.placer.expect(choice, passage.request)
+                self.placer.expect(worker, choice.salt, [part.part for part in passage.request.parts[:-1]])
                 self.loads.learn_pace(
                     worker, choice.missing_tokens, choice.expected_micros, self.clock.now() - sent_micros
                 )
@@ -346,6 +367,7 @@
         self.held_tokens = held_tokens
         self.is_waiting = False
         self.is_running = False
+        self.read: LongRead | None = None
 
     def begin(self) -> None:
         self.is_waiting = self.is_running = True
@@ -353,9 +375,13 @@
 
     def first_event(self) -> None:
         self.is_waiting = False
+        if self.read is not None:
+            self.read.end(True)
         self.loads.first_event(self.worker, self.missing_tokens)
 
     def end(self) -> None:
+        if self.read is not None:
+            self.read.end(False)
         if self.is_running:
             self.is_running = False
             self.loads.end(self.worker, self.missing_tokens if self.is_waiting else 0, self.held_tokens)
