--- a/src/pearhead/lathe/kept_gatherer.py
+++ b/src/pearhead/lathe/kept_gatherer.py
@@ -18,7 +18,7 @@
 from pearhead.awl.net import MAXIMUM_DATAGRAM
 from pearhead.awl.wire_pb2 import KeptNote, KeptPart
 from pearhead.lathe.core_commander import ViewSource
-from pearhead.lathe.rendezvous import rank_of
+from pearhead.lathe.rendezvous import RankBook
 from pearhead.lathe.roster import Roster
 from pearhead.lathe.worker_control import KeptEvent, KeptEvents, WorkerControl
 
@@ -136,6 +136,7 @@
         self.sink = sink
         self.pause_micros = pause_micros
         self.spread = spread
+        self.ranks = RankBook(identity)
         self.least_tokens = least_tokens
         self.cursors: dict[str, _Cursor] = {}
         self.told_notes: dict[str, KeptNote] = {}
@@ -152,7 +153,7 @@
         others = [r.identity for r in self.directory.members("lathe")]
         mine = {
             name: address for name, address in targets.items()
-            if rank_of(self.identity, others, f"kept/{name}") == 0
+            if self.ranks.rank(others, f"kept/{name}") == 0
         }
         for name in list(self.polls):
             if name not in mine or self.polls[name].done():
--- a/src/pearhead/lathe/rendezvous.py
+++ b/src/pearhead/lathe/rendezvous.py
@@ -17,3 +17,21 @@
     """How many of the others go before this node; zero is the first."""
     own_score = score_of(identity, subject)
     return sum(score_of(other, subject) > own_score for other in set(others) if other != identity)
+
+
+class RankBook:
+    """Ranks of one node, kept until the others change: they are asked for many times a second."""
+
+    def __init__(self, identity: str) -> None:
+        self.identity = identity
+        self.others: list[str] = []
+        self.ranks: dict[str, int] = {}
+
+    def rank(self, others: list[str], subject: str) -> int:
+        """As `rank_of`."""
+        if others != self.others:
+            self.others, self.ranks = others, {}
+        found = self.ranks.get(subject)
+        if found is None:
+            found = self.ranks[subject] = rank_of(self.identity, others, subject)
+        return found
--- a/src/pearhead/lathe/roll_out.py
+++ b/src/pearhead/lathe/roll_out.py
@@ -22,7 +22,7 @@
 from pearhead.lathe.worker_control import Backend, LoadOrder, OrderOutcome, WorkerControl
 
 LOGGER = picologging.getLogger("pearhead")
-ROUND_MICROS = 50 * MILLI
+ROUND_MICROS = 100 * MILLI
 SILENCE_MICROS = 2 * SECOND
 RANK_MICROS = 1_500 * MILLI
 TWICE_MICROS = 20 * MILLI
--- a/src/pearhead/lathe/roster.py
+++ b/src/pearhead/lathe/roster.py
@@ -16,12 +16,12 @@
 from pearhead.awl.directory import Directory
 from pearhead.awl.net import MAXIMUM_DATAGRAM
 from pearhead.awl.wire_pb2 import ListedWorker, LoadedModel, RosterNote
-from pearhead.lathe.rendezvous import rank_of, score_of
+from pearhead.lathe.rendezvous import RankBook, score_of
 from pearhead.lathe.worker_control import Backend, WorkerControl
 
 LOGGER = picologging.getLogger("pearhead")
 SUBJECT = "roster"
-TICK_MICROS = 50 * MILLI
+TICK_MICROS = 100 * MILLI
 # The whole fleet asks no more often than this while nobody gets an answer.
 ATTEMPT_GAP_MICROS = 700 * MILLI
 RANK_MICROS = 600 * MILLI
@@ -132,6 +132,7 @@
         self.crew = crew
         self.control = control
         self.beat_micros = beat_micros
+        self.ranks = RankBook(identity)
         self.watchers: list[Callable[[Roster], None]] = []
         self.merge = RosterMerge()
         self.first_micros = 0
@@ -172,7 +173,7 @@
     # ---- whose turn it is ------------------------------------------------------------------------
 
     def _rank(self) -> int:
-        return rank_of(self.identity, (r.identity for r in self.directory.members("lathe")), SUBJECT)
+        return self.ranks.rank([r.identity for r in self.directory.members("lathe")], SUBJECT)
 
     def _silence_micros(self) -> int:
         return self.beat_micros + self.beat_micros // 5 + RANK_MICROS * self._rank()
