Callers without time to come back are held until the node knows a worker too

Cause: a node that starts knows what is in force before it knows of workers. Now they are held until both are known, within the same half of their time and 1.2 s.

--- a/src/pearhead/lathe/gate.py
+++ b/src/pearhead/lathe/gate.py
@@ -140,12 +140,20 @@
 
     async def _hold_until_known(self, request: OpaqueRequest, pen: AnswerPen) -> None:
         """On a node that starts, for a caller that has not the time to come back when it will know."""
-        if self.current.view() is not None or not 0 < request.wait_micros < COME_BACK_SHARE * NOT_CURRENT_MICROS:
+        if not 0 < request.wait_micros < COME_BACK_SHARE * NOT_CURRENT_MICROS:
             return
         end_micros = self.clock.now() + min(request.wait_micros // HELD_SHARE, HELD_MICROS)
-        while self.current.view() is None and self.clock.now() < end_micros and not pen.is_gone():
+        while not self._is_known(request) and self.clock.now() < end_micros and not pen.is_gone():
             await rest(self.clock, HELD_ROUND_MICROS)
 
+    def _is_known(self, request: OpaqueRequest) -> bool:
+        """What is in force and a worker, or that it is to be refused; a node knows of workers last."""
+        looked = self._look(request)
+        if isinstance(looked, Err):
+            return looked.err_value.kind is not ErrorKind.NOT_CURRENT
+        way = looked.ok_value
+        return isinstance(self.placer.choose(way.view, way.route, request, way.tenant, frozenset()), Ok)
+
     def _look(self, request: OpaqueRequest) -> Result[Way, Refusal]:
         view = self.current.view()
         if view is None:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -94,6 +94,22 @@
         self.expected.append(worker)
 
 
+class LatePlacer(FakePlacer):
+    """Knows of no worker before a moment."""
+
+    def __init__(self, bench: Bench, known_micros: int) -> None:
+        super().__init__()
+        self.bench = bench
+        self.known_micros = known_micros
+
+    def choose(
+        self, view: View, route: Route, request: OpaqueRequest, tenant: Tenant | None, excluded: frozenset[str]
+    ) -> Result[Choice, Refusal]:
+        if self.bench.now() < self.known_micros:
+            return Err(Refusal(ErrorKind.NO_WORKER))
+        return super().choose(view, route, request, tenant, excluded)
+
+
 class FakeDialect:
     def outgoing_headers(self, request: OpaqueRequest, directions: Directions) -> HTTPHeaders:
         return HTTPHeaders({"Tenant": directions.tenant, "Last": directions.last_event_id})
@@ -310,6 +326,23 @@
             ), pen)
             self.assertEqual((pen.status, bench.now() - began_micros), wanted)
 
+    async def test_a_caller_without_the_time_to_come_back_is_held_until_a_worker_is_known(self) -> None:
+        for wait_micros, wanted in ((2 * SECOND, (200, 500_000)), (800_000, (503, 400_000)), (3 * SECOND, (503, 0))):
+            bench = TickingBench()
+            began_micros = bench.now()
+            placer = LatePlacer(bench, began_micros + 500_000)
+            gate = Gate(
+                bench, FakeCurrent(make_view(**STREAM)), placer, LoadBook(bench),  # type: ignore[arg-type]
+                FakePool([FakeCall(HEAD, tuple(EVENTS))]), FleetBudget(bench, 0.2, 50, 10 * SECOND),  # type: ignore[arg-type]
+                FakeDialect(), lambda: 1, lambda worker, head: None,
+            )
+            pen = FakePen()
+            await gate.serve(OpaqueRequest(
+                "id", "POST", "/a/x", "h", "/a/x", HTTPHeaders(), b"", bench.now(), hash_key("k"),
+                wait_micros=wait_micros,
+            ), pen)
+            self.assertEqual((pen.status, bench.now() - began_micros), wanted)
+
     async def test_a_read_is_over_for_others_however_its_request_ends(self) -> None:
         parts = (PromptPart("p0", 9_000), PromptPart("own", 10))
         for calls, kept in (
