--- a/src/pearhead/lathe/placer.py
+++ b/src/pearhead/lathe/placer.py
@@ -93,6 +93,10 @@
                 return Ok(found)
         return Err(Refusal(ErrorKind.NO_WORKER, "no worker can run it now", 600 * MILLI))
 
+    def knows_workers(self) -> bool:
+        """A node that starts hears of workers last; later an empty roster says that there are none."""
+        return bool(self.roster().backends)
+
     def stands(self, view: View, choice: Choice) -> bool:
         """Whether this very choice could still be made: asked in one step with the first byte (§8.4)."""
         backend = self.roster().backends.get(choice.backend.name)
