A changed key that its reader never made goes to all nodes; one that made it bumps

The key ran on for good. Not mended: a key that no node alive made bumps nothing, and a whole list of a worker tells no changes.

--- a/src/pearhead/lathe/holder.py
+++ b/src/pearhead/lathe/holder.py
@@ -17,7 +17,7 @@
 from pearhead.awl.crew import Crew
 from pearhead.awl.directory import Directory
 from pearhead.awl.view import View, WorkerFact
-from pearhead.awl.wire_pb2 import Command, CommandAsk, CommandResult, CopyNote, PurgeNote
+from pearhead.awl.wire_pb2 import ChangedNote, Command, CommandAsk, CommandResult, CopyNote, PurgeNote
 from pearhead.lathe.carry import MayBegin
 from pearhead.lathe.index import CopyIndex
 from pearhead.lathe.term import TermKeeper
@@ -35,6 +35,8 @@
 LONG_TOKENS = 1_000
 SILENT_POLLS = 2
 PARTS_AT_ONCE = 16
+CHANGED_SPREAD_MICROS = 250 * MILLI
+CHANGED_WAIT_MICROS = SECOND
 
 
 class WorkerLink(Protocol):
@@ -290,14 +292,42 @@
             if isNews or load != report.load:
                 report.load = load
                 self._spread(worker, body, fromSequence)
-            for key in body["changed"]:
-                known = self.index.partByKey.get(key)
-                if known is not None:
-                    self.crew.start(self.listener.bump(*known))
+            self._bump_changed(body["changed"])
             await rest(self.clock, POLL_MICROS)
         finally:
             report.isBusy = False
 
+    def _bump_changed(self, keys: list[str]) -> None:
+        """A key tells its part only to who made it: what this node can't tell goes to all others (§6.3)."""
+        unknown = []
+        for key in keys:
+            known = self.index.partByKey.get(key)
+            if known is not None:
+                self.crew.start(self.listener.bump(*known))
+            else:
+                unknown.append(key)
+        if unknown:
+            # By frames: a report is read once, so what is lost here is not told again.
+            note = PurgeNote(changedNote=ChangedNote(key=unknown))
+            for record in self.directory.members("lathe"):
+                self.courier.tell(record.address, "purgeNote", note)
+
+    def _take_changed(self, note: ChangedNote) -> None:
+        parts = {self.index.partByKey[key] for key in note.key if key in self.index.partByKey}
+        for part in sorted(parts):
+            self.crew.start(self._bump_for_another(*part))
+
+    async def _bump_for_another(self, owner: str, line: str, part: int) -> None:
+        """Several may know the part: each waits a while of its own, and whoever hears of a bump leaves it at that."""
+        revision = self.listener.revision_of(owner, line, part)
+        await rest(self.clock, self.chance.randrange(CHANGED_SPREAD_MICROS))
+        if self.listener.is_changing(owner, line, part):
+            # Asked for by another, who may be gone before it is done.
+            await rest(self.clock, CHANGED_WAIT_MICROS)
+        # What was not known before can't be seen to move: then one bump too many does no harm.
+        if revision is None or self.listener.last_revision_of(owner, line, part) == revision:
+            await self.listener.bump(owner, line, part)
+
     def _spread(self, worker: WorkerFact, body: dict[str, Any], fromSequence: int) -> None:
         """Tells all nodes on the channel of a volume; those not told lose only speed (§6.5)."""
         kept, dropped = list(body["kept"]), list(body["dropped"])
@@ -329,7 +359,9 @@
             self.courier.cast(addresses, "purgeNote", PurgeNote(copyNote=note))
 
     def _take_copies(self, note: PurgeNote) -> None:
-        if note.copyNote.unsound:
+        if note.HasField("changedNote"):
+            self._take_changed(note.changedNote)
+        elif note.copyNote.unsound:
             self.soundnessWatcher(note.copyNote.worker)
         elif note.copyNote.startingTokens:
             self.startWatcher(note.copyNote.worker, note.copyNote.startingTokens)
--- a/src/pearhead/rasp/listener.py
+++ b/src/pearhead/rasp/listener.py
@@ -96,6 +96,9 @@
         state = self._use(owner, line)
         return state.heard[part][0] if part in state.heard else state.tableRevisions.get(part, 1)
 
+    def is_changing(self, owner: str, line: str, part: int) -> bool:
+        return part in self._use(owner, line).changing
+
     async def bump(self, owner: str, line: str, part: int) -> int | None:
         """Asks the serializer for the next revision; goes on with plus one until the answer is here."""
         state = self._use(owner, line)
@@ -182,7 +185,7 @@
     # ---- messages ---------------------------------------------------------------------------------
 
     def _take_note(self, identity: str, address: str, note: PurgeNote) -> None:
-        if note.HasField("copyNote"):
+        if note.HasField("copyNote") or note.HasField("changedNote"):
             self.copyWatcher(note)
             return
         state = self.volumes.get((note.owner, note.line))
--- /dev/null
+++ b/tests/test_changed_keys.py
@@ -0,0 +1,182 @@
+"""A worker tells of a changed part by its key, to a holder that never made that key (§6.3); on virtual time."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
+
+from result import Err, Ok, Result
+
+from pearhead.anvil.fleet import Fleet
+from pearhead.awl.clock import MILLI, SECOND
+from pearhead.awl.courier import Courier
+from pearhead.awl.directory import Directory
+from pearhead.awl.view import WorkerFact
+from pearhead.awl.wire_pb2 import BumpPart, Command, PurgeNote, Record
+from pearhead.jig.sim.world import SimNet, World, pause, run_virtual
+from pearhead.lathe.carry import MayBegin
+from pearhead.lathe.holder import HolderController, _Report
+from pearhead.lathe.index import CopyIndex
+from pearhead.lathe.term import TermKeeper
+from pearhead.rasp.listener import Listener
+from pearhead.rasp.serializer import Serializer
+
+OWNER, LINE, PART, KEY = "tenant:t", "l", 7, "a key of part 7"
+LIFETIME_MICROS = 30 * SECOND
+CORE = "core:1"
+
+
+class OneCore:
+    """`RevisionKeeper` over the product's own state, committed at once."""
+
+    def __init__(self) -> None:
+        self.fleet = Fleet()
+        self.index = 1
+
+    def is_leader(self) -> bool:
+        return True
+
+    async def confirm(self) -> bool:
+        return True
+
+    async def bump(self, note: PurgeNote) -> tuple[int, int] | None:
+        command = Command(transaction=note.revisionRequest.transaction)
+        command.bump.CopyFrom(BumpPart(owner=note.owner, line=note.line, part=note.part))
+        self.index += 1
+        outcome = self.fleet.apply(self.index, command.SerializeToString())
+        return outcome["revision"], outcome["index"]
+
+    def pairs_of(self, owner: str, line: str) -> list[tuple[int, int]]:
+        return self.fleet.revisions_of(f"{owner}/{line}")
+
+    def position(self) -> tuple[int, int]:
+        return 1, self.index
+
+
+class TellingLink:
+    """A worker that tells once that a key's content changed."""
+
+    def __init__(self, key: str) -> None:
+        self.changed = [key]
+
+    async def events(self, address: str, life: str, after: int) -> Result[dict[str, Any], str]:
+        changed, self.changed = self.changed, []
+        return Ok({"life": "1", "sequence": 1, "whole": False, "kept": [], "dropped": [], "changed": changed})
+
+    async def claim(self, address: str, fence: int, mayBegin: MayBegin) -> Result[dict[str, Any], str]:
+        return Err("not asked for")
+
+    async def load(
+        self, address: str, fence: int, line: str, weights: str, limitMicros: int, mayBegin: MayBegin
+    ) -> Result[dict[str, Any], str]:
+        return Err("not asked for")
+
+
+class PurgeNode:
+    def __init__(self, world: World, name: str) -> None:
+        machine = world.machine(name)
+        machine.boot()
+        self.machine = machine
+        net = SimNet(machine, f"{name}:1")
+        courier = Courier(name, f"{name}:1", net, machine)
+        record = Record(identity=name, address=f"{name}:1", role="lathe")
+        directory = Directory(record, [CORE], courier, machine, machine.chance)
+        self.listener = Listener(courier, directory, machine, machine.chance, machine.crew, LIFETIME_MICROS)
+        keeper = TermKeeper(courier, directory, machine, machine.chance, machine.crew, SECOND)
+        self.index = CopyIndex()
+        self.holder = HolderController(
+            name, keeper, self.listener, self.index, TellingLink(KEY), courier, directory, machine,
+            machine.chance, machine.crew, 3 * SECOND,
+        )
+        for work in (directory.run(), self.listener.run()):
+            machine.crew.start(work)
+
+    def place(self) -> None:
+        """As a job on the part: from now on this node knows which part the key is of."""
+        self.listener.revision_of(OWNER, LINE, PART)
+        self.index.note_parts(OWNER, LINE, [PART], [KEY])
+
+    def revision(self) -> int | None:
+        return self.listener.revision_of(OWNER, LINE, PART)
+
+    def gather(self) -> None:
+        worker = cast(WorkerFact, _NamedWorker())
+        self.machine.crew.start(self.holder._gather(worker, _Report(life="1")))
+
+
+class _NamedWorker:
+    name, address = "w", "w:1"
+
+
+class PurgeFleet:
+    def __init__(self, world: World, knowing: int) -> None:
+        self.world = world
+        self.core = OneCore()
+        machine = world.machine("core")
+        machine.boot()
+        courier = Courier("core", CORE, SimNet(machine, CORE), machine)
+        record = Record(identity="core", address=CORE, role="anvil")
+        directory = Directory(record, [], courier, machine, machine.chance)
+        serializer = Serializer(self.core, courier, directory, machine, machine.crew, LIFETIME_MICROS)
+        serializer.join_volumes([(OWNER, LINE)])
+        machine.crew.start(directory.run())
+        self.reader = PurgeNode(world, "reader")
+        self.knowing = [PurgeNode(world, f"n{number}") for number in range(knowing)]
+
+    def committed(self) -> int:
+        return self.core.fleet.parts.get(f"{OWNER}/{LINE}", {}).get(PART, 1)
+
+
+def play_purge(
+    seed: int, knowing: int, play: Callable[[PurgeFleet], Coroutine[Any, Any, Any]]
+) -> Any:
+    async def whole(world: World) -> Any:
+        fleet = PurgeFleet(world, knowing)
+        for node in fleet.knowing:
+            node.place()
+        # Each has heard of all others, and has a table.
+        await pause(world, 6 * SECOND)
+        assert [n.revision() for n in fleet.knowing] == [1] * knowing
+        return await play(fleet)
+
+    return run_virtual(seed, whole)
+
+
+class UnknownKeyTest(unittest.TestCase):
+    """A worker tells its holder, which never placed a job on the key, that the key's part changed."""
+
+    def test_who_made_the_key_bumps_its_part_once(self) -> None:
+        async def play(fleet: PurgeFleet) -> tuple[int, list[int | None]]:
+            fleet.reader.gather()
+            await pause(fleet.world, SECOND)
+            revisions = [n.revision() for n in fleet.knowing]
+            await pause(fleet.world, 5 * SECOND)
+            return fleet.committed(), revisions
+
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                committed, revisions = play_purge(seed, 4, play)
+                self.assertEqual(committed, 2)
+                # None where the request came behind its repair: the part is read anew, and never an old copy.
+                self.assertLessEqual(set(revisions), {2, None})
+                self.assertIn(2, revisions)
+
+    def test_another_bumps_if_the_first_to_ask_does_not_reach_the_core(self) -> None:
+        async def play(fleet: PurgeFleet) -> int:
+            fleet.world.cut(["n0"], ["core"])
+            fleet.reader.gather()
+            await pause(fleet.world, 1_800 * MILLI)
+            return fleet.committed()
+
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                self.assertEqual(play_purge(seed, 2, play), 2)
+
+    def test_a_key_that_nobody_made_bumps_nothing(self) -> None:
+        async def play(fleet: PurgeFleet) -> int:
+            fleet.reader.gather()
+            await pause(fleet.world, 2 * SECOND)
+            return fleet.core.index
+
+        self.assertEqual(play_purge(1, 0, play), 1)
