--- a/src/pearhead/rasp/listener.py
+++ b/src/pearhead/rasp/listener.py
@@ -55,6 +55,10 @@
     pagesMark: tuple[int, int, int] = (0, 0, 0)
     pagesExpiry: int = 0
 
+    def is_overtaken(self) -> bool:
+        """A bump was heard of that the table does not hold: who had only the table would use the old part (§6.4)."""
+        return bool(self.heard or self.changing)
+
 
 class Listener:
     def __init__(
@@ -92,6 +96,9 @@
         state = self._use(owner, line)
         return state.heard[part][0] if part in state.heard else state.tableRevisions.get(part, 1)
 
+    def is_changing(self, owner: str, line: str, part: int) -> bool:
+        return part in self._use(owner, line).changing
+
     async def bump(self, owner: str, line: str, part: int) -> int | None:
         """Asks the serializer for the next revision; goes on with plus one until the answer is here."""
         state = self._use(owner, line)
@@ -178,7 +185,7 @@
     # ---- messages ---------------------------------------------------------------------------------
 
     def _take_note(self, identity: str, address: str, note: PurgeNote) -> None:
-        if note.HasField("copyNote"):
+        if note.HasField("copyNote") or note.HasField("changedNote"):
             self.copyWatcher(note)
             return
         state = self.volumes.get((note.owner, note.line))
@@ -228,7 +235,7 @@
     def _relay_table(self, owner: str, line: str, state: VolumeState) -> None:
         """Any holder may repair the table; it takes its holding time off the lifetime (§6.4)."""
         leftMicros = state.expiryMicros - self.clock.now()
-        if leftMicros <= 0:
+        if leftMicros <= 0 or state.is_overtaken():
             return
         pages = page_pairs(sorted(state.tableRevisions.items()))
         for pageNumber, pairs in enumerate(pages):
