--- a/src/pearhead/anvil/core.py
+++ b/src/pearhead/anvil/core.py
@@ -18,6 +18,7 @@
 from pearhead.awl.clock import MILLI, SECOND, Clock, rest
 from pearhead.awl.courier import Courier
 from pearhead.awl.crew import Crew
+from pearhead.awl.delta_packing import DeltaPacker
 from pearhead.awl.description import read_description_gently
 from pearhead.awl.directory import Directory
 from pearhead.awl.disk import Disk
@@ -86,6 +87,7 @@
         self.identity = ""
         self.founders = startup.founders
         self.level_index = NEVER_LEVEL
+        self.packer = DeltaPacker()
         self.tellEvent: Callable[[str, int, dict[str, Any]], None] = lambda typeName, index, data: None
         self.raft: RaftMember
         self.courier: Courier
@@ -358,8 +360,7 @@
             members=members, membersIndex=membersIndex,
         )
         delta = self.fleet.delta_since(ask.haveIndex, ask.haveHash)
-        if delta is not None:
-            result.delta.CopyFrom(delta)
+        self.packer.put(result, delta)
         return result
 
     # ---- founding, joining, replacing --------------------------------------------------------------
@@ -507,6 +508,7 @@
     def _take_leadership(self, leads: bool) -> None:
         self.leaderSince = self.clock.now()
         self.level_index = NEVER_LEVEL
+        self.packer = DeltaPacker()
 
     # ---- what operators are told -------------------------------------------------------------------
 
--- /dev/null
+++ b/src/pearhead/awl/delta_packing.py
@@ -0,0 +1,46 @@
+"""Packing of deltas (§5.2): a large one goes deflated, as many nodes ask for it at once over small links."""
+
+from __future__ import annotations
+
+import zlib
+
+from google.protobuf.message import DecodeError
+
+from pearhead.awl.wire_pb2 import TermResult, ViewDelta
+
+PACKED_FROM = 4_096
+PACK_LEVEL = 1
+DELTA_LIMIT = 64 * 1024 * 1024
+
+
+class DeltaPacker:
+    """Keeps the last one packed: all nodes that were level ask for the same."""
+
+    def __init__(self) -> None:
+        self.held: tuple[int, int, str, bytes] = (-1, -1, "", b"")
+
+    def put(self, result: TermResult, delta: ViewDelta | None) -> None:
+        """Into a result, packed where it is larger than 4,096 bytes."""
+        if delta is None:
+            return
+        mark = (delta.baseIndex, delta.index, delta.hash)
+        if self.held[:3] != mark:
+            plain = delta.SerializeToString()
+            packed = zlib.compress(plain, PACK_LEVEL) if len(plain) > PACKED_FROM else b""
+            self.held = (*mark, packed)
+        if self.held[3]:
+            result.packed_delta = self.held[3]
+        else:
+            result.delta.CopyFrom(delta)
+
+
+def delta_of(result: TermResult) -> ViewDelta | None:
+    """The delta of a result, packed or not; None if there is none or it can't be read."""
+    if not result.packed_delta:
+        return result.delta if result.HasField("delta") else None
+    try:
+        unpacker = zlib.decompressobj()
+        plain = unpacker.decompress(result.packed_delta, DELTA_LIMIT)
+        return ViewDelta.FromString(plain) if unpacker.eof else None
+    except (zlib.error, DecodeError):
+        return None
--- a/src/pearhead/lathe/term.py
+++ b/src/pearhead/lathe/term.py
@@ -10,6 +10,7 @@
 from pearhead.awl.clock import MILLI, SECOND, Clock, rest
 from pearhead.awl.courier import Courier
 from pearhead.awl.crew import Crew
+from pearhead.awl.delta_packing import DeltaPacker, delta_of
 from pearhead.awl.directory import Directory
 from pearhead.awl.view import View
 from pearhead.awl.wire_pb2 import Members, TermAsk, TermResult
@@ -18,6 +19,8 @@
 ROUND_MICROS = 300 * MILLI
 MANY_NODES = 16
 RESULT_MICROS = 800 * MILLI
+DELTA_MICROS = 2 * SECOND
+NEXT_FETCH_MICROS = 500 * MILLI
 RELAY_AFTER_MICROS = 1_000 * MILLI
 RELAY_COUNT = 2
 COME_BACK_LIMIT_MICROS = 12 * SECOND
@@ -43,10 +46,11 @@
         self.currentAt = NEVER
         self.waitingMarks: list[tuple[int, int]] = []
         self.needsWhole = False
-        self.isFetching = False
+        self.fetchesSince: dict[str, int] = {}
         self.firstSeen: dict[tuple[str, int], int] = {}
         self.namedAfter: dict[tuple[str, int], int] = {}
         self.hasView = False
+        self.packer = DeltaPacker()
         courier.on_ask("termAsk", self._make_colleague_result)
 
     def is_current(self) -> bool:
@@ -96,8 +100,8 @@
                 return
             result: TermResult = givenResult.ok_value
             self._take_members(result)
-            if result.lastVisibleIndex > self.view.index and not self.isFetching:
-                self.isFetching = True
+            if result.lastVisibleIndex > self.view.index and self._may_fetch(address):
+                self.fetchesSince[address] = self.clock.now()
                 self.crew.start(self._fetch_delta(address))
             if result.member:
                 heardIndexes[address] = result.lastVisibleIndex
@@ -111,15 +115,23 @@
         for address in askedAddresses:
             self.crew.start(ask_core(address))
 
+    def _may_fetch(self, address: str) -> bool:
+        """Of one core at a time; of another as well when that one is slow, as it may be gone."""
+        nowMicros = self.clock.now()
+        return address not in self.fetchesSince and all(
+            nowMicros - since > NEXT_FETCH_MICROS for since in self.fetchesSince.values()
+        )
+
     async def _fetch_delta(self, address: str) -> None:
         """What changed is asked of one core only: of each, it would come three times over."""
         try:
-            givenResult = await self.courier.ask(address, "termAsk", self._term_ask(), RESULT_MICROS)
+            # A large one needs its time on a small link: asked for anew, it would need it twice.
+            givenResult = await self.courier.ask(address, "termAsk", self._term_ask(), DELTA_MICROS)
             if not isinstance(givenResult, Err):
                 self._take_delta(givenResult.ok_value)
                 self._settle_marks()
         finally:
-            self.isFetching = False
+            self.fetchesSince.pop(address, None)
 
     async def _ask_colleagues(self) -> None:
         colleagues = [r.address for r in self.directory.members("lathe")]
@@ -152,8 +164,7 @@
             lastVisibleIndex=self.view.index, members=self.members, membersIndex=self.membersIndex,
         )
         delta = self.view.delta_since(ask.haveIndex)
-        if delta is not None:
-            result.delta.CopyFrom(delta)
+        self.packer.put(result, delta)
         return result
 
     def _take_members(self, result: TermResult) -> None:
@@ -161,12 +172,13 @@
             self.members, self.membersIndex = result.members, result.membersIndex
 
     def _take_delta(self, result: TermResult) -> None:
-        if not result.HasField("delta") or result.delta.index <= self.view.index:
+        delta = delta_of(result)
+        if delta is None or delta.index <= self.view.index:
             return
-        nextView = self.view.with_delta(result.delta)
+        nextView = self.view.with_delta(delta)
         if nextView is None:
             # Another answer may have come in between; if not, the whole digest is asked for.
-            self.needsWhole = result.delta.baseIndex == self.view.index
+            self.needsWhole = delta.baseIndex == self.view.index
             return
         self.needsWhole = False
         oldRevision = self.view.descriptionRevision
--- /dev/null
+++ b/tests/test_delta_packing.py
@@ -0,0 +1,41 @@
+"""DeltaPacker: large deltas come out as they went in, and what can't be read is no delta."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from pearhead.awl.delta_packing import DeltaPacker, delta_of
+from pearhead.awl.wire_pb2 import Section, TermResult, ViewDelta
+
+
+def make_delta(routes: int, index: int = 7) -> ViewDelta:
+    body = json.dumps([
+        {"name": f"r-{n}", "host": f"host{n % 7}.example", "prefix": f"/p{n}/", "deadline_micros": 3_000_000,
+         "splits": [{"service": "s", "share": 1}], "stream": True, "tries": 2} for n in range(routes)
+    ]).encode()
+    return ViewDelta(baseIndex=5, index=index, hash="h", section=[Section(name="routes-00", index=index, body=body)])
+
+
+class DeltaPackingTest(unittest.TestCase):
+    def put(self, packer: DeltaPacker, delta: ViewDelta | None) -> TermResult:
+        result = TermResult(lastVisibleIndex=7)
+        packer.put(result, delta)
+        return TermResult.FromString(result.SerializeToString())
+
+    def test_small_and_large_ones_come_out_as_they_went_in(self) -> None:
+        packer = DeltaPacker()
+        for delta in (make_delta(1), make_delta(1_040), make_delta(1_040), make_delta(3, index=8)):
+            self.assertEqual(delta_of(self.put(packer, delta)), delta)
+        self.assertIsNone(delta_of(self.put(packer, None)))
+
+    def test_a_thousand_routes_need_a_fifth_of_their_size_at_most(self) -> None:
+        delta = make_delta(1_040)
+        result = self.put(DeltaPacker(), delta)
+        self.assertFalse(result.HasField("delta"))
+        self.assertLess(result.ByteSize(), delta.ByteSize() / 5)
+
+    def test_what_cant_be_read_is_no_delta(self) -> None:
+        packed = self.put(DeltaPacker(), make_delta(1_040)).packed_delta
+        for broken in (packed[:-9], b"x" + packed, packed[:200] + b"\0\0" + packed[202:], b"x"):
+            self.assertIsNone(delta_of(TermResult(packed_delta=broken)))
