A large change over a busy link: the late course and the mended one, on virtual time

The test shows that course with plain deltas (over 2.5 s, again and again) and the mended one (under 1.5 s, under 100 KB), and a silent core.

--- /dev/null
+++ b/tests/test_term_links.py
@@ -0,0 +1,130 @@
+"""TermKeeper over small links: a large change comes to a node in time and not again and again (§5.2, §5.3)."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import unittest
+from collections.abc import Callable
+from typing import Any, cast
+
+from result import Err, Ok, Result
+
+from pearhead.awl.clock import SECOND, Timer, rest
+from pearhead.awl.courier import Courier
+from pearhead.awl.crew import Crew
+from pearhead.awl.delta_packing import DeltaPacker
+from pearhead.awl.directory import Directory
+from pearhead.awl.view import View, hash_sections
+from pearhead.awl.wire_pb2 import Member, Members, Record, Section, TermAsk, TermResult, ViewDelta
+from pearhead.jig.sim.loop import VirtualLoop
+from pearhead.lathe.term import NO_DELTA, TermKeeper
+
+CORES = ("c1:1", "c2:1", "c3:1")
+LINK = 100_000  # Bytes a second: what clients leave of a link of 5 Mbit/s when it is busy.
+
+
+class LoopClock:
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+
+    def now(self) -> int:
+        return self.loop.now()
+
+    def after(self, delay_micros: int, callback: Callable[[], None]) -> Timer:
+        return self.loop.call_later(max(delay_micros, 0) / SECOND, callback)
+
+
+class PlainPacker(DeltaPacker):
+    """As it was: the delta as it is."""
+
+    def put(self, result: TermResult, delta: ViewDelta | None) -> None:
+        if delta is not None:
+            result.delta.CopyFrom(delta)
+
+
+class SlowLink:
+    """The cores' answers come one after another over the node's own link; a silent core never answers a fetch."""
+
+    def __init__(self, clock: LoopClock, packer: DeltaPacker, silent: frozenset[str]) -> None:
+        self.clock = clock
+        self.packer = packer
+        self.silent = silent
+        self.free_micros = 0
+        self.sent = 0
+        routes = [{"name": f"r{n}", "host": f"h{n % 9}", "prefix": f"/{n * 7919}/", "splits": [{"service": "s"}],
+                   "deadline_micros": 3_000_000, "aim_micros": 300_000, "stream": True} for n in range(1_400)]
+        self.sections = {**View().sections, "routes-00": (9, json.dumps(routes).encode())}
+
+    def on_ask(self, body_name: str, handler: object) -> None:
+        return None
+
+    async def ask(self, address: str, body_name: str, ask: TermAsk, limit_micros: int) -> Result[Any, str]:
+        is_fetch = ask.haveIndex != NO_DELTA
+        if is_fetch and address in self.silent:
+            await rest(self.clock, limit_micros)
+            return Err("silent")
+        result = TermResult(member=True, lastVisibleIndex=9, membersIndex=1, members=Members(
+            member=[Member(identity=core, address=core, voter=True) for core in CORES]
+        ))
+        if is_fetch:
+            delta = ViewDelta(index=9, hash=hash_sections(self.sections))
+            delta.section.extend(Section(name=n, index=i, body=b) for n, (i, b) in self.sections.items() if i)
+            self.packer.put(result, delta)
+        size = result.ByteSize()
+        self.sent += size
+        self.free_micros = max(self.free_micros, self.clock.now()) + size * SECOND // LINK
+        wait_micros = self.free_micros - self.clock.now()
+        await rest(self.clock, min(wait_micros, limit_micros))
+        return Ok(result) if wait_micros <= limit_micros else Err("late")
+
+
+class ThreeCores:
+    def members(self, role: str | None = None) -> list[Record]:
+        return [Record(identity=core, address=core, role="anvil") for core in CORES] if role == "anvil" else []
+
+
+class TermLinksTest(unittest.TestCase):
+    def play(self, packer: DeltaPacker, silent: frozenset[str] = frozenset()) -> tuple[int, SlowLink]:
+        """When the change was in force, in whole microseconds, at most 12 s."""
+        loop = VirtualLoop()
+        clock = LoopClock(loop)
+        link = SlowLink(clock, packer, silent)
+
+        async def run() -> int:
+            crew = Crew("test")
+            keeper = TermKeeper(
+                cast(Courier, link), cast(Directory, ThreeCores()), clock, random.Random(3), crew, 2 * SECOND
+            )
+            crew.start(keeper.run())
+            while keeper.view.index != 9 and clock.now() < 12 * SECOND:
+                await rest(clock, 10_000)
+            at_micros = clock.now()
+            crew.stop()
+            await asyncio.gather(*crew.ownTasks, return_exceptions=True)
+            return at_micros
+
+        try:
+            return loop.run_until_complete(run()), link
+        finally:
+            loop.close()
+
+    def test_a_large_change_is_in_force_in_time_over_a_busy_link(self) -> None:
+        at_micros, link = self.play(DeltaPacker())
+        self.assertLess(at_micros, 1_500_000)
+        self.assertLess(link.sent, 100_000)
+
+    def test_as_it_was_it_came_late_and_again_and_again(self) -> None:
+        at_micros, link = self.play(PlainPacker())
+        self.assertGreater(at_micros, 2_500_000)
+        self.assertGreater(link.sent, 200_000)
+
+    def test_another_core_is_asked_when_one_is_silent(self) -> None:
+        for silent in CORES:
+            at_micros, _ = self.play(DeltaPacker(), frozenset({silent}))
+            self.assertLess(at_micros, 1_800_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
