--- a/src/pearhead/testbed/simulator/world.py
+++ b/src/pearhead/testbed/simulator/world.py
@@ -15,6 +15,7 @@
 from pearhead.runtime.crew import Crew
 from pearhead.runtime.net import Receiver
 from pearhead.testbed.simulator.loop import VirtualLoop
+from pearhead.testbed.simulator.uplink import Uplink
 
 LINK_MICROS = (200, 900)
 DISK_MICROS = (400, 2_500)
@@ -178,6 +179,8 @@
         self.cast_loss = 0.0
         self.cast_double = 0.0
         self.last_arrivals: dict[tuple[str, str], int] = {}
+        # Links out of bounded rate, by machine; the others' take no time.
+        self.uplinks: dict[str, Uplink] = {}
         self.run_hash = hashlib.blake2b(digest_size=8)
         self.trace: list[str] = []
         self.sent_count = 0
@@ -228,8 +231,11 @@
             if self.chance.random() < self.cast_loss:
                 return
             copy_count += self.chance.random() < self.cast_double
+        departure_micros = self._departure(source, frame_bytes, is_stream)
+        if departure_micros is None:
+            return
         for _ in range(copy_count):
-            arrival_micros = self.now() + self.link_micros() * (1 if is_stream else self.chance.randrange(1, 4))
+            arrival_micros = departure_micros + self.link_micros() * (1 if is_stream else self.chance.randrange(1, 4))
             if is_stream:
                 pair = (source.name, target.name)
                 arrival_micros = max(arrival_micros, self.last_arrivals.get(pair, 0) + 1)
@@ -243,6 +249,11 @@
 
             self.loop.call_later((arrival_micros - self.now()) / SECOND, arrive)
 
+    def _departure(self, source: Machine, frame_bytes: bytes, is_stream: bool) -> int | None:
+        """When it has left its machine; None if the machine's link dropped it."""
+        uplink = self.uplinks.get(source.name)
+        return self.now() if uplink is None else uplink.departure(self.now(), len(frame_bytes), is_stream)
+
     # ---- calls from outside, and HTTP in between ----------------------------------------------------
 
     async def call_into(
--- /dev/null
+++ b/tests/test_roster_freshness.py
@@ -0,0 +1,139 @@
+"""How old a node's list of workers may be: behind narrow links, with lost notes, and with askers that are gone."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from pearhead.router.worker_control import Backend
+from pearhead.runtime.clock import MILLI, SECOND
+from pearhead.testbed.simulator.uplink import PACKET_OVERHEAD_BYTES, Uplink
+from pearhead.testbed.simulator.world import World, pause, run_virtual
+from tests.workerfleet import LINE, SERVICE, FleetNode, WorkerFleet, busiest_second
+
+# The users' grown sites: 63 nodes behind 5 Mbit/s; what their links queue is not told, and reckoned from a trial.
+NODE_COUNT = 63
+WORKER_COUNT = 31
+LINK_BYTES_PER_SECOND = 625_000
+LINK_QUEUE_BYTES = 32 * 1024
+# Of the 3 s that a worker serves on at least, a half is left for the request's own way.
+KNOWN_WITHIN_MICROS = 2_500 * MILLI
+
+
+def run_fleet(node_count: int, play: Callable[[WorkerFleet], Coroutine[Any, Any, Any]], seed: int = 1) -> Any:
+    """A fleet whose nodes have narrow links, after ten seconds of quiet."""
+
+    async def whole(world: World) -> Any:
+        fleet = WorkerFleet(world, node_count)
+        for node in fleet.nodes:
+            world.uplinks[node.name] = Uplink(LINK_BYTES_PER_SECOND, LINK_QUEUE_BYTES)
+        for number in range(WORKER_COUNT):
+            add_worker(fleet, f"i-{number:010x}")
+        fleet.start("rosters")
+        await pause(world, 10 * SECOND)
+        result = await play(fleet)
+        assert not fleet.faults(), fleet.faults()
+        return result
+
+    return run_virtual(seed, whole)
+
+
+def add_worker(fleet: WorkerFleet, name: str) -> None:
+    fleet.platform.add(name)
+    fleet.platform.listed[name] = Backend(
+        name, f"10.2.64.{len(fleet.platform.listed)}:8701", "edappally", SERVICE, 12, versions={LINE: 1}
+    )
+
+
+def start_leaving(fleet: WorkerFleet, count: int) -> set[str]:
+    """The list shows so many workers as leaving from now on."""
+    listed = fleet.platform.listed
+    names = [name for name, backend in listed.items() if not backend.is_leaving][:count]
+    for name in names:
+        listed[name] = dataclasses.replace(listed[name], is_leaving=True)
+    return set(names)
+
+
+def unaware(fleet: WorkerFleet, leaving: set[str]) -> list[str]:
+    """The running nodes that would still send requests to a worker that leaves."""
+    running = [node for node in fleet.nodes if node.machine.is_alive and not node.machine.is_frozen]
+    return [node.name for node in running if leaving & node.names()]
+
+
+def asker_of(fleet: WorkerFleet) -> FleetNode:
+    return fleet.node_of(fleet.platform.list_calls[-1][1])
+
+
+class RosterFreshnessTest(unittest.TestCase):
+    def test_a_large_fleet_behind_narrow_links_hears_in_time_who_leaves(self) -> None:
+        """Incident of issue 20: a burst of notes overflowed the sender's link, and always lost the same nodes' notes."""
+
+        async def play(fleet: WorkerFleet) -> None:
+            for count in (5, 3, 7):
+                leaving = start_leaving(fleet, count)
+                await pause(fleet.world, KNOWN_WITHIN_MICROS)
+                self.assertEqual(unaware(fleet, leaving), [])
+            # New workers are told with all that is known of them, so these notes are the largest.
+            for number in range(5):
+                add_worker(fleet, f"n-{number:010x}")
+            leaving = start_leaving(fleet, 3)
+            await pause(fleet.world, KNOWN_WITHIN_MICROS)
+            self.assertEqual(unaware(fleet, leaving), [])
+
+        for seed in range(1, 4):
+            run_fleet(NODE_COUNT, play, seed)
+
+    def test_no_list_grows_old_in_a_quiet_fleet(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            ages = []
+            for _ in range(100):
+                await pause(fleet.world, 100 * MILLI)
+                ages += [fleet.world.now() - node.rosters.roster.at_micros for node in fleet.nodes]
+            self.assertLess(max(ages), 2 * SECOND)
+
+        run_fleet(NODE_COUNT, play)
+
+    def test_an_asker_that_goes_is_missed_in_time(self) -> None:
+        """Also where those next in rank are gone with it."""
+        for gone_count in (1, 3, 5):
+            for seed in range(1, 5):
+
+                async def play(fleet: WorkerFleet, gone_count: int = gone_count) -> None:
+                    ranked = sorted(fleet.nodes, key=lambda node: node.rosters._rank())
+                    gone = {asker_of(fleet).name: asker_of(fleet), **{node.name: node for node in ranked}}
+                    for node in list(gone.values())[:gone_count]:
+                        node.machine.freeze()
+                    leaving = start_leaving(fleet, 2)
+                    await pause(fleet.world, KNOWN_WITHIN_MICROS)
+                    self.assertEqual(unaware(fleet, leaving), [])
+                    self.assertLessEqual(busiest_second([at for at, _ in fleet.platform.list_calls]), 12)
+
+                run_fleet(9, play, seed)
+
+    def test_notes_that_are_lost_are_made_up_for(self) -> None:
+        async def play(fleet: WorkerFleet) -> None:
+            for _ in range(5):
+                leaving = start_leaving(fleet, 2)
+                await pause(fleet.world, KNOWN_WITHIN_MICROS)
+                self.assertEqual(unaware(fleet, leaving), [])
+
+        for loss in (0.3, 0.9):
+
+            async def lossy(fleet: WorkerFleet, loss: float = loss) -> None:
+                fleet.world.cast_loss = loss
+                await play(fleet)
+
+            run_fleet(9, lossy)
+
+
+class UplinkTest(unittest.TestCase):
+    def test_a_burst_beyond_the_queue_loses_its_tail_and_streams_wait(self) -> None:
+        uplink = Uplink(1_000_000, 10 * 1_000)
+        size = 1_000 - PACKET_OVERHEAD_BYTES
+        departures = [uplink.departure(0, size, is_stream=False) for _ in range(12)]
+        self.assertEqual(departures, [n * 1_000 for n in range(1, 11)] + [None, None])
+        self.assertEqual(uplink.dropped_count, 2)
+        self.assertEqual(uplink.departure(0, size, is_stream=True), 11_000)
+        self.assertEqual(uplink.departure(20_000, size, is_stream=False), 21_000, "it has been idle")
