--- a/src/pearhead/router/kept_gatherer.py
+++ b/src/pearhead/router/kept_gatherer.py
@@ -14,7 +14,7 @@
 from pearhead.discovery.directory import Directory
 from pearhead.router.core_commander import ViewSource
 from pearhead.router.rendezvous import RankBook
-from pearhead.router.roster import Roster
+from pearhead.router.roster_merge import Roster
 from pearhead.router.worker_control import KeptEvent, KeptEvents, WorkerControl
 from pearhead.rpc.courier import Courier
 from pearhead.rpc.wire_pb2 import KeptNote, KeptPart
--- a/src/pearhead/router/placer.py
+++ b/src/pearhead/router/placer.py
@@ -15,7 +15,7 @@
 from pearhead.router.load_book import LoadBook
 from pearhead.router.opaque import OpaqueRequest
 from pearhead.router.part_salt import PartSalt, SaltText
-from pearhead.router.roster import Roster
+from pearhead.router.roster_merge import Roster
 from pearhead.router.version_book import VersionBook
 from pearhead.router.worker_control import Backend
 from pearhead.runtime.clock import MILLI, SECOND, Clock
--- a/src/pearhead/router/roll_out.py
+++ b/src/pearhead/router/roll_out.py
@@ -14,7 +14,7 @@
 from pearhead.discovery.directory import Directory
 from pearhead.router.core_commander import Commander, ViewSource
 from pearhead.router.rendezvous import rank_of
-from pearhead.router.roster import Roster
+from pearhead.router.roster_merge import Roster
 from pearhead.router.version_book import VersionBook
 from pearhead.router.worker_control import Backend, LoadOrder, OrderOutcome, WorkerControl
 from pearhead.rpc.courier import Courier
--- a/src/pearhead/router/roster.py
+++ b/src/pearhead/router/roster.py
@@ -1,4 +1,8 @@
-"""RosterKeeper (§7.7): one node asks the platform which workers there are, and tells all others."""
+"""RosterKeeper (§7.7): one node asks the platform which workers there are, and tells all others.
+
+Telling is one-way and may be lost, so each node looks at the age of its own list: one that grows old is asked of peers,
+and one that stays old is asked of the platform itself.
+"""
 
 from __future__ import annotations
 
@@ -6,15 +10,16 @@
 import logging
 import random
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
 
 from result import Err, Ok
 
 from pearhead.discovery.directory import Directory
+from pearhead.router.paced_cast import PacedCast
 from pearhead.router.rendezvous import RankBook, score_of
+from pearhead.router.roster_merge import LONG_AGO, Roster, RosterMerge, pack_backend, unpack_backend
 from pearhead.router.worker_control import Backend, WorkerControl
 from pearhead.rpc.courier import Courier
-from pearhead.rpc.wire_pb2 import ListedWorker, LoadedModel, RosterNote
+from pearhead.rpc.wire_pb2 import ListedWorker, RosterNote
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 from pearhead.runtime.crew import Crew
 from pearhead.runtime.net import MAXIMUM_DATAGRAM
@@ -24,111 +29,34 @@
 TICK_MICROS = 100 * MILLI
 # The whole fleet asks no more often than this while nobody gets an answer.
 ATTEMPT_GAP_MICROS = 700 * MILLI
-RANK_MICROS = 600 * MILLI
+RANK_MICROS = 100 * MILLI
+# Records of nodes that are gone live for seconds: from here on, ranks do not wait for those before them.
+MOST_RANKS = 8
 VAIN_RANK_MICROS = 100 * MILLI
+# A list this old is asked for by the node itself, whatever its rank; spread so that not all do it at once.
+STALE_MICROS = 2 * SECOND
+STALE_SPREAD_MICROS = 300 * MILLI
+# Peers are asked from this age on, at these intervals; they answer with workers only if their list is newer by so much.
+PULL_AGE_MICROS = 1_250 * MILLI
+PULL_MICROS = 150 * MILLI
+MOST_PULL_MICROS = SECOND
+NEWER_MICROS = 100 * MILLI
+# A process that was not run for this long has not had the time to ask anybody.
+PAUSED_MICROS = SECOND
 FRESH_MICROS = 500 * MILLI
 PEER_MICROS = 400 * MILLI
 ALONE_MICROS = 2 * SECOND
 LIST_LIMIT_MICROS = 900 * MILLI
-ABSENT_MICROS = 400 * MILLI
-OUT_MICROS = 60 * SECOND
 WHOLE_MICROS = 10 * SECOND
 RECENT_MICROS = 3 * SECOND
 DATAGRAM_ROOM = MAXIMUM_DATAGRAM - 100
-LONG_AGO = -(10**12)
-
-
-@dataclass(frozen=True)
-class Roster:
-    """Immutable and swapped whole. `at_micros`: when the list behind it was asked, by this node's clock."""
-
-    backends: Mapping[str, Backend] = field(default_factory=dict)
-    at_micros: int = LONG_AGO
-
-
-def pack_backend(backend: Backend) -> ListedWorker:
-    return ListedWorker(
-        name=backend.name,
-        address=backend.address,
-        zone=backend.zone,
-        service=backend.service,
-        capacity=backend.capacity,
-        leaving=backend.is_leaving,
-        cold_left_micros=backend.cold_left_micros,
-        model=[LoadedModel(line=line, version=version) for line, version in sorted(backend.versions.items())],
-    )
-
-
-def unpack_backend(listed: ListedWorker) -> Backend:
-    return Backend(
-        listed.name,
-        listed.address,
-        listed.zone,
-        listed.service,
-        listed.capacity,
-        listed.leaving,
-        {model.line: model.version for model in listed.model},
-        listed.cold_left_micros,
-    )
-
-
-class RosterMerge:
-    """What lists say, put together so that knowledge goes one way only.
-
-    Seen leaving stays leaving. Absent from two lists asked 0.4 s apart or more is out, and out for 60 s: pages of one
-    list are read one after another, so an entry that moves between them is missing once though it is there; a second
-    list a second later still leaves time within the 3 s that a worker takes to go. A list of nobody says nothing.
-    """
-
-    def __init__(self) -> None:
-        self.roster = Roster()
-        self.leaving: set[str] = set()
-        self.absent_since: dict[str, int] = {}
-        self.out_until: dict[str, int] = {}
-
-    def take(self, listed: Iterable[Backend], at_micros: int, now_micros: int) -> bool:
-        """Whether the list was newer than what is known. An older one can still tell who leaves."""
-        listed_by_name = {backend.name: backend for backend in listed}
-        self.leaving |= {name for name, backend in listed_by_name.items() if backend.is_leaving}
-        is_newer = bool(listed_by_name) and at_micros > self.roster.at_micros
-        merged = dict(self.roster.backends)
-        if is_newer:
-            self.out_until = {name: end for name, end in self.out_until.items() if end > now_micros}
-            merged = {name: b for name, b in listed_by_name.items() if name not in self.out_until}
-            for name, backend in self.roster.backends.items():
-                if name in listed_by_name:
-                    self.absent_since.pop(name, None)
-                elif at_micros - self.absent_since.setdefault(name, at_micros) >= ABSENT_MICROS:
-                    self.absent_since.pop(name)
-                    self.out_until[name] = now_micros + OUT_MICROS
-                else:
-                    merged[name] = backend
-            self.leaving &= set(merged) | set(listed_by_name)
-        for name in self.leaving & set(merged):
-            if not merged[name].is_leaving:
-                merged[name] = dataclasses.replace(merged[name], is_leaving=True)
-        self.roster = Roster(merged, at_micros if is_newer else self.roster.at_micros)
-        return is_newer
-
-    def learn(self, listed: Iterable[Backend], at_micros: int, now_micros: int) -> None:
-        """What a colleague knows: it adds whom this node does not know, and takes nobody out."""
-        told = list(listed)
-        if not self.roster.backends:
-            self.take(told, at_micros, now_micros)
-            return
-        self.leaving |= {backend.name for backend in told if backend.is_leaving}
-        added = {
-            b.name: b
-            for b in told
-            if b.name not in self.roster.backends and self.out_until.get(b.name, now_micros) <= now_micros
-        }
-        self.roster = Roster({**self.roster.backends, **added}, self.roster.at_micros)
 
 
 class RosterKeeper:
     """Who asks: the first by rendezvous, each `beat_micros`; the next ones when they heard no list for 1.2 s and
-    0.6 s a rank. Records of dead nodes live 5 s, so silence decides and not who is listed. A note without workers
-    says that its sender asked in vain, so that a list in trouble is not asked by all at once.
+    0.1 s a rank, and anyone whose list is 2 s old. Records of dead nodes live 5 s, so silence decides and not who is
+    listed. A note without workers says that its sender asks or asked, so that a list in trouble is not asked by all
+    at once.
     """
 
     def __init__(
@@ -164,6 +92,12 @@
         self.changed_micros: dict[str, int] = {}
         self.is_learning = False
         self.failure_count = 0
+        self.is_asking = False
+        self.ticked_micros = 0
+        self.resumed_micros = LONG_AGO
+        own_chance = random.Random(identity)
+        self.stale_spread_micros = own_chance.randrange(STALE_SPREAD_MICROS)
+        self.paced_cast = PacedCast(clock, own_chance)
         courier.on_tell("roster_note", self._take_note)
         courier.on_ask("roster_note", self._make_whole)
 
@@ -181,9 +115,14 @@
         self.first_micros = started_micros + FRESH_MICROS + self.chance.randrange(FRESH_MICROS)
         self.heard_micros = self.first_micros - self.beat_micros - self.beat_micros // 5
         self.crew.start(self._learn_from_peers())
+        self.crew.start(self._pull_while_old())
+        self.ticked_micros = started_micros
         while True:
             await rest(self.clock, TICK_MICROS)
             now_micros = self.clock.now()
+            if now_micros - self.ticked_micros > PAUSED_MICROS:
+                self.resumed_micros = now_micros
+            self.ticked_micros = now_micros
             is_alone = not self.directory.members() and now_micros < started_micros + ALONE_MICROS
             if not is_alone and now_micros >= max(self.first_micros, self._due_micros()):
                 await self._ask_list()
@@ -194,7 +133,7 @@
         return self.ranks.rank([r.identity for r in self.directory.members("router")], SUBJECT)
 
     def _silence_micros(self) -> int:
-        return self.beat_micros + self.beat_micros // 5 + RANK_MICROS * self._rank()
+        return self.beat_micros + self.beat_micros // 5 + RANK_MICROS * min(self._rank(), MOST_RANKS)
 
     def _due_micros(self) -> int:
         now_micros = self.clock.now()
@@ -203,15 +142,23 @@
             is_spared = self.failure_count > 1 and now_micros - self.heard_micros < 2 * self.beat_micros
             return self.asked_micros + self.beat_micros * (5 if is_spared else 1)
         gap_micros = ATTEMPT_GAP_MICROS + VAIN_RANK_MICROS * min(self._rank(), 10)
-        return max(self.heard_micros + self._silence_micros(), self.attempt_micros + gap_micros)
+        due_micros = self.heard_micros + self._silence_micros()
+        if self.roster.backends:
+            # Nobody's notes reach this node: it asks for itself, but not while others try in vain.
+            due_micros = min(due_micros, self.roster.at_micros + STALE_MICROS + self.stale_spread_micros)
+        return max(due_micros, self.attempt_micros + gap_micros)
 
     async def _ask_list(self) -> None:
         began_micros = self.clock.now()
         self.asked_micros = self.attempt_micros = began_micros
         if not self.is_asker:
             # The others wait on seeing this, whatever comes of it.
-            self._cast_vain()
-        given = await self.control.list_workers(LIST_LIMIT_MICROS)
+            self._cast_attempt(began_micros)
+        self.is_asking = True
+        try:
+            given = await self.control.list_workers(LIST_LIMIT_MICROS)
+        finally:
+            self.is_asking = False
         listed = given.unwrap_or([])
         if not listed:
             self.failure_count += 1
@@ -219,25 +166,68 @@
             if self.failure_count in (1, 10):
                 why = given.err_value if isinstance(given, Err) else "it is empty"
                 LOGGER.warning("router: The list of workers gave nothing. fault=%r", why)
-            self._cast_vain()
+            self._cast_attempt(began_micros)
             return
         self.failure_count = 0
         self.is_asker = True
         self.heard_micros = self.clock.now()
         self._merge(listed, began_micros)
-        self._tell_all({b.name: b for b in listed}, began_micros)
+        await self._tell_all({b.name: b for b in listed}, began_micros)
+
+    # ---- how old it is ---------------------------------------------------------------------------
+
+    def age_micros(self) -> int:
+        """How long ago the list behind the roster was asked."""
+        return self.clock.now() - self.roster.at_micros
+
+    def is_fresh_within(self, bound_micros: int) -> bool:
+        """Whether the roster is no older than that, or can't be: the list gives this node no answer, or the process was
+        not run until just now."""
+        now_micros = self.clock.now()
+        was_paused = now_micros - max(self.resumed_micros, self.ticked_micros) > PAUSED_MICROS
+        has_resumed = now_micros - self.resumed_micros <= PAUSED_MICROS
+        is_unanswered = self.is_asking or self.failure_count > 0
+        return self.age_micros() <= bound_micros or is_unanswered or was_paused or has_resumed
+
+    async def _pull_while_old(self) -> None:
+        """Asks one peer after another while the list is old; less often while nobody has a newer one."""
+        pause_micros = PULL_MICROS
+        while True:
+            await rest(self.clock, pause_micros)
+            addresses = [r.address for r in self.directory.members("router")]
+            if self.age_micros() <= PULL_AGE_MICROS or not self.roster.backends or not addresses:
+                pause_micros = PULL_MICROS
+            elif await self._pull_from(self.chance.choice(addresses)):
+                pause_micros = PULL_MICROS
+            else:
+                pause_micros = min(pause_micros * 3 // 2, MOST_PULL_MICROS)
+
+    async def _pull_from(self, address: str) -> bool:
+        """Takes a peer's list if that is newer, and says whether it was."""
+        asked_micros = self.clock.now()
+        given = await self.courier.ask(address, "roster_note", RosterNote(age_micros=self.age_micros()), PEER_MICROS)
+        if isinstance(given, Err) or not given.ok_value.worker:
+            return False
+        # Counted from the asking, so never as newer than it is.
+        self._take_list([unpack_backend(w) for w in given.ok_value.worker], asked_micros - given.ok_value.age_micros)
+        return True
+
+    def _take_list(self, listed: Iterable[Backend], at_micros: int) -> None:
+        if at_micros > self.roster.at_micros:
+            self.heard_micros = max(self.heard_micros, self.clock.now())
+        self._merge(listed, at_micros)
 
     # ---- telling ---------------------------------------------------------------------------------
 
-    def _cast_vain(self) -> None:
-        self.courier.cast([r.address for r in self.directory.members("router")], "roster_note", RosterNote())
+    def _cast_attempt(self, began_micros: int) -> None:
+        note = RosterNote(age_micros=self.clock.now() - began_micros)
+        self.courier.cast([r.address for r in self.directory.members("router")], "roster_note", note)
 
-    def _tell_all(self, listed: Mapping[str, Backend], began_micros: int) -> None:
+    async def _tell_all(self, listed: Mapping[str, Backend], began_micros: int) -> None:
         """What the list showed: whole to nodes not told before and now and then, else only names and what changed."""
         now_micros = self.clock.now()
         for name, backend in listed.items():
-            before = self.told.get(name)
-            if before is None or dataclasses.replace(before, cold_left_micros=backend.cold_left_micros) != backend:
+            if _is_news(self.told.get(name), backend):
                 self.changed_micros[name] = now_micros
         self.told = dict(listed)
         self.changed_micros = {
@@ -257,26 +247,30 @@
             ],
         )
         known = [r.address for r in records if r.identity in self.told_identities]
-        if brief.ByteSize() <= DATAGRAM_ROOM:
-            self.courier.cast(known, "roster_note", brief)
-        else:
-            for address in known:
-                self.courier.tell(address, "roster_note", brief)
-        for record in records:
-            if record.identity not in self.told_identities:
-                self.courier.tell(record.address, "roster_note", whole)
+        untold = [r.address for r in records if r.identity not in self.told_identities]
         self.told_identities = {r.identity for r in records}
+        await self._send_paced(known, brief)
+        await self._send_paced(untold, whole)
+
+    async def _send_paced(self, addresses: list[str], note: RosterNote) -> None:
+        note_bytes = note.ByteSize()
+
+        def send_batch(batch: list[str]) -> None:
+            if note_bytes <= DATAGRAM_ROOM:
+                return self.courier.cast(batch, "roster_note", note)
+            for address in batch:
+                self.courier.tell(address, "roster_note", note)
+
+        await self.paced_cast.send(addresses, note_bytes, send_batch)
 
     # ---- hearing ---------------------------------------------------------------------------------
 
     def _take_note(self, identity: str, address: str, note: RosterNote) -> None:
         now_micros = self.clock.now()
+        at_micros = now_micros - note.age_micros
         if not note.worker:
-            self.attempt_micros = now_micros
+            self.attempt_micros = max(self.attempt_micros, at_micros)
             return
-        at_micros = now_micros - note.age_micros
-        if at_micros > self.roster.at_micros:
-            self.heard_micros = max(self.heard_micros, now_micros)
         if self.is_asker and score_of(identity, SUBJECT) > score_of(self.identity, SUBJECT):
             self.is_asker = False
         unknown = [w.name for w in note.worker if not w.address and w.name not in self.roster.backends]
@@ -287,7 +281,7 @@
             elif worker.name in self.roster.backends:
                 held = self.roster.backends[worker.name]
                 listed.append(dataclasses.replace(held, is_leaving=held.is_leaving or worker.leaving))
-        self._merge(listed, at_micros)
+        self._take_list(listed, at_micros)
         if any(name not in self.merge.out_until for name in unknown) and not self.is_learning:
             self.crew.start(self._learn_from(address))
 
@@ -304,10 +298,11 @@
                 watcher(self.roster)
 
     async def _make_whole(self, identity: str, address: str, note: RosterNote) -> RosterNote:
-        if not self.roster.backends:
+        """Answers a peer: with the workers, if it has no list or an older one; it tells how old its own is."""
+        if not self.roster.backends or 0 < note.age_micros <= self.age_micros() + NEWER_MICROS:
             return RosterNote()
         return RosterNote(
-            age_micros=self.clock.now() - self.roster.at_micros,
+            age_micros=self.age_micros(),
             worker=[pack_backend(b) for b in self.roster.backends.values()],
         )
 
@@ -332,3 +327,11 @@
             if addresses:
                 await self._learn_from(self.chance.choice(addresses))
             await rest(self.clock, TICK_MICROS)
+
+
+def _is_news(told: Backend | None, backend: Backend) -> bool:
+    """Whether more changed than what each note says of every worker, or what nobody decides by."""
+    if told is None:
+        return True
+    same = dataclasses.replace(told, cold_left_micros=backend.cold_left_micros, is_leaving=backend.is_leaving)
+    return same != backend
--- a/src/pearhead/router/roster_recorder.py
+++ b/src/pearhead/router/roster_recorder.py
@@ -9,7 +9,7 @@
 
 from pearhead.config.view import View
 from pearhead.router.core_commander import Commander, ViewSource
-from pearhead.router.roster import Roster
+from pearhead.router.roster_merge import Roster
 from pearhead.rpc.wire_pb2 import Command, SetWorkers, Worker
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 
--- a/src/pearhead/router/version_book.py
+++ b/src/pearhead/router/version_book.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from pearhead.router.roster import Roster
+from pearhead.router.roster_merge import Roster
 from pearhead.rpc.wire_pb2 import ModelNote
 from pearhead.runtime.clock import SECOND, Clock
 
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -14,7 +14,7 @@
 from pearhead.router.opaque import OpaqueRequest, PromptPart
 from pearhead.router.part_salt import SaltText
 from pearhead.router.placer import Choice, Placer, read_micros
-from pearhead.router.roster import Roster
+from pearhead.router.roster_merge import Roster
 from pearhead.router.version_book import VersionBook
 from pearhead.router.worker_control import Backend
 from pearhead.rpc.wire_pb2 import KeptNote, KeptPart
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from pearhead.router.roster import OUT_MICROS, RosterMerge, pack_backend
+from pearhead.router.roster_merge import OUT_MICROS, RosterMerge, pack_backend
 from pearhead.router.worker_control import Backend
 from pearhead.rpc.wire_pb2 import ListedWorker, RosterNote
 from pearhead.runtime.clock import MILLI, SECOND
