--- a/src/pearhead/consensus/raft.py
+++ b/src/pearhead/consensus/raft.py
@@ -123,6 +123,7 @@
         self.heard_leader = -ELECTION_MICROS
         self.granted_by: set[str] = set()
         self.trial_vote = False
+        self.election_count = 0
         self.followers: dict[str, Follower] = {}
         self.round_number = 0
         self.round_waiters: list[tuple[int, asyncio.Future[bool]]] = []
@@ -565,6 +566,7 @@
             self._count_votes()
             return
         self.epoch += 1
+        self.election_count += 1
         self.voted_for = self.identity
         vote_epoch = self.epoch
 
--- a/src/pearhead/control_plane/main.py
+++ b/src/pearhead/control_plane/main.py
@@ -18,6 +18,7 @@
 from pearhead.control_plane.core import CoreProcess
 from pearhead.control_plane.events import EventTeller, http_post
 from pearhead.control_plane.folder import FolderReader
+from pearhead.control_plane.metrics import build_core_registry
 from pearhead.control_plane.operatorapi import build_operator_api
 from pearhead.control_plane.rescue import Rescue
 from pearhead.runtime.clock import BootClock
@@ -44,7 +45,7 @@
     net = SocketNet(startup.address)
     core = CoreProcess(startup, BootClock(), net, disk, random.SystemRandom(), fail)
     server = HTTPServer(
-        build_operator_api(core, startup),
+        build_operator_api(core, startup, build_core_registry(core, net)),
         max_body_size=2 * MAXIMUM_DESCRIPTION,
         max_header_size=startup.headerLimitBytes,
     )
--- /dev/null
+++ b/src/pearhead/control_plane/metrics.py
@@ -0,0 +1,50 @@
+"""CoreCollector (§3.4): a core's part in consensus."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from prometheus_client import CollectorRegistry, Metric
+from prometheus_client.registry import Collector
+
+from pearhead.control_plane.core import CoreProcess
+from pearhead.rpc.metrics import MessageCollector
+from pearhead.runtime.clock import SECOND
+from pearhead.runtime.collectors import LinkCollector
+from pearhead.runtime.metrics import build_registry, counter, gauge, labelled_gauge
+from pearhead.runtime.socketnet import SocketNet
+
+ROLES = ("follower", "candidate", "leader")
+
+
+class CoreCollector(Collector):
+    """Reads the member of the consensus group and the messages that it sent."""
+
+    def __init__(self, core: CoreProcess) -> None:
+        self.core = core
+
+    def collect(self) -> Iterable[Metric]:
+        """Role, term, log and members."""
+        raft = self.core.raft
+        yield labelled_gauge(
+            "raft_role", "1 for the present role.", "role", {role: raft.role == role for role in ROLES}
+        )
+        yield gauge("raft_term", "The term (epoch) of this core.", raft.epoch)
+        yield gauge("raft_commit_index", "The last committed entry.", raft.commit_index)
+        yield gauge("raft_applied_index", "The last applied entry.", raft.applied_index)
+        yield gauge("raft_last_index", "The last entry of the log.", raft.last_index())
+        yield gauge("raft_members", "Members, learners among them.", len(raft.members().member))
+        yield gauge("raft_voters", "Members with a vote.", len(raft.voters()))
+        yield counter("raft_elections", "Elections that this core began, without trial votes.", raft.election_count)
+        yield gauge("raft_flush_seconds", "For how long the present write of the log lasts.", self._flush_seconds())
+        yield gauge("disk_full", "1 while the disk is full.", raft.disk_full)
+        yield from MessageCollector(self.core.courier).collect()
+
+    def _flush_seconds(self) -> float:
+        started_micros = self.core.raft.flush_started
+        return 0.0 if started_micros is None else (self.core.clock.now() - started_micros) / SECOND
+
+
+def build_core_registry(core: CoreProcess, net: SocketNet) -> CollectorRegistry:
+    """All figures of a core; they can be asked for once it has started."""
+    return build_registry([CoreCollector(core), LinkCollector(net)])
--- a/src/pearhead/control_plane/operatorapi.py
+++ b/src/pearhead/control_plane/operatorapi.py
@@ -5,12 +5,14 @@
 import json
 from typing import Any
 
+from prometheus_client import CollectorRegistry
 from tornado.web import Application, RequestHandler
 
 from pearhead.config.startup import Startup, is_operator
 from pearhead.control_plane.change import to_json
 from pearhead.control_plane.core import CoreProcess
 from pearhead.rpc.wire_pb2 import Command, CommandResult, Worker
+from pearhead.runtime.metrics import metrics_routes
 
 STATUS_CODES = {"done": 200, "conflict": 409, "refused": 422, "held": 409, "unavailable": 503, "unknown": 504}
 
@@ -168,7 +170,7 @@
         self.finish(self.core.soundness())
 
 
-def build_operator_api(core: CoreProcess, startup: Startup) -> Application:
+def build_operator_api(core: CoreProcess, startup: Startup, registry: CollectorRegistry | None = None) -> Application:
     parts = {"core": core, "startup": startup}
     return Application(
         [
@@ -181,6 +183,7 @@
             ("/fleet", FleetHandler, parts),
             ("/inspect", InspectHandler, parts),
             ("/soundness", SoundnessHandler, parts),
+            *(metrics_routes(registry) if registry is not None else []),
         ],
         log_function=lambda handler: None,
     )
--- a/src/pearhead/router/edge.py
+++ b/src/pearhead/router/edge.py
@@ -205,9 +205,11 @@
 
     def _handle_connection(self, connection: socket.socket, address: Any) -> None:
         self.handle_stream(ClientStream(connection, self.edge, max_buffer_size=self.max_buffer_size), address)
+        self.edge.connection_count += 1
 
     def on_close(self, server_conn: object) -> None:
         assert isinstance(server_conn, HTTP1ServerConnection) and isinstance(server_conn.stream, ClientStream)
+        self.edge.connection_count -= 1
         self.edge.forget(server_conn.stream)
         super().on_close(server_conn)
 
@@ -228,6 +230,7 @@
         self.handler = handler
         self.limits = limits
         self.is_draining = False
+        self.connection_count = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.resting: dict[ClientStream, int] = {}
         self.heads: dict[ClientStream, int] = {}
--- a/src/pearhead/router/front.py
+++ b/src/pearhead/router/front.py
@@ -6,6 +6,7 @@
 import json
 from typing import Any
 
+from prometheus_client import CollectorRegistry
 from result import Err
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler, stream_request_body
@@ -15,6 +16,7 @@
 from pearhead.router.errors import ERROR_TABLE, NOT_RUN, ErrorKind, Refusal
 from pearhead.router.job import read_job
 from pearhead.router.node import NodeProcess
+from pearhead.runtime.metrics import metrics_routes
 
 
 @stream_request_body
@@ -138,12 +140,13 @@
         self.finish({"error": ErrorKind.MALFORMED.value, "ran": NOT_RUN, "detail": "no such path"})
 
 
-def build_front(node: NodeProcess, startup: Startup) -> Application:
+def build_front(node: NodeProcess, startup: Startup, registry: CollectorRegistry | None = None) -> Application:
     return Application(
         [
             ("/v1/jobs", JobHandler, {"node": node, "startup": startup}),
             ("/inspect", InspectHandler, {"node": node, "startup": startup}),
             ("/soundness", SoundnessHandler, {"node": node}),
+            *(metrics_routes(registry) if registry is not None else []),
         ],
         default_handler_class=NoSuchPathHandler,
         log_function=lambda handler: None,
--- a/src/pearhead/router/gate.py
+++ b/src/pearhead/router/gate.py
@@ -116,12 +116,14 @@
         self.note_versions = note_versions
         self.reads = reads or ReadBook(clock, placer.expect, lambda note: None)
         self.open_requests = 0
+        self.taken_count = 0
         self.outcomes: dict[str, int] = {}
 
     async def serve(self, request: OpaqueRequest, pen: AnswerPen) -> None:
         """Ends with a whole answer, a refusal, or an aborted connection; nothing is left open behind it."""
         passage = Passage(request, pen, EventSplitter(request.last_event_id))
         self.open_requests += 1
+        self.taken_count += 1
         try:
             await self._hold_until_known(request, pen)
             looked = self._look(request)
--- a/src/pearhead/router/gateway.py
+++ b/src/pearhead/router/gateway.py
@@ -35,6 +35,8 @@
 from pearhead.rpc.wire_pb2 import KeptNote, ReadNote, Record, UseNote
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 from pearhead.runtime.crew import Crew
+from pearhead.runtime.invariants import InvariantCounters
+from pearhead.runtime.loop_lag import LoopLag
 from pearhead.runtime.net import Net
 
 LOGGER = logging.getLogger("pearhead")
@@ -76,6 +78,8 @@
         self.clock = clock
         self.chance = chance
         self.crew = Crew("router")
+        self.invariants = InvariantCounters(clock)
+        self.loop_lag = LoopLag(clock)
         self.identity = chance.randbytes(12).hex()
         self.courier = Courier(self.identity, startup.address, net, clock)
         record = Record(
@@ -93,7 +97,15 @@
         self.versions = VersionBook(clock)
         self.weights = WeightsClock(clock, self.keeper, startup.oldWeightsMicros)
         self.rosters = RosterKeeper(
-            self.identity, self.courier, self.directory, clock, chance, self.crew, control, settings.list_micros
+            self.identity,
+            self.courier,
+            self.directory,
+            clock,
+            chance,
+            self.crew,
+            control,
+            settings.list_micros,
+            self.invariants,
         )
         self.rosters.watchers.append(self.versions.take_roster)
         self.gatherer = KeptGatherer(
@@ -150,12 +162,13 @@
             self.pool,
             budget,
             dialect,
-            self._node_count,
+            self.node_count,
             self._note_versions,
             self.reads,
         )
         self.stats_log = StatsLog(clock, self.gate, self.pool, budget, settings.log_stats_micros)
         self.is_draining = False
+        self.taken_before_drain = 0
         self.held_limits: tuple[bytes | None, ClientLimits] = (None, ClientLimits())
         self.courier.on_tell("use_note", self._take_use)
 
@@ -183,10 +196,22 @@
     async def drain(self, least_micros: int) -> None:
         """Goes on serving for a while, as callers still come; then waits for what is open."""
         self.is_draining = self.roll_out.is_draining = True
+        open_before = self.gate.open_requests
+        self.taken_before_drain = self.gate.taken_count
         end_micros = self.clock.now() + self.startup.drainMicros
         least_end = self.clock.now() + least_micros
         while self.clock.now() < least_end or (self.gate.open_requests and self.clock.now() < end_micros):
             await rest(self.clock, 20 * MILLI)
+        LOGGER.info(
+            "router: The drain is over. open_before=%d taken=%d cut=%d",
+            open_before,
+            self.taken_draining(),
+            self.gate.open_requests,
+        )
+
+    def taken_draining(self) -> int:
+        """Requests taken since the drain began."""
+        return self.gate.taken_count - self.taken_before_drain if self.is_draining else 0
 
     def is_ready(self) -> bool:
         """Knows what is in force, and a worker; a draining node takes no new connections."""
@@ -207,7 +232,8 @@
             self.held_limits = (body, ClientLimits.of(self.keeper.view.description.limits))
         return self.held_limits[1]
 
-    def _node_count(self) -> int:
+    def node_count(self) -> int:
+        """Front nodes known to this one, itself among them."""
         return len(self.directory.members("router")) + 1
 
     def _note_versions(self, worker: str, head: AnswerHead) -> None:
@@ -230,7 +256,7 @@
         """What this node has at workers, to all nodes, when it changed and now and then (§8.8)."""
         told_micros = 0
         while True:
-            await rest(self.clock, USE_MICROS)
+            await self.loop_lag.rest(USE_MICROS)
             now_micros = self.clock.now()
             if self.relay.is_active():
                 continue
--- a/src/pearhead/router/main.py
+++ b/src/pearhead/router/main.py
@@ -13,6 +13,7 @@
 
 from pearhead.config.startup import Startup, end_with, read_startup, startup_help
 from pearhead.router.front import build_front
+from pearhead.router.metrics import build_node_registry
 from pearhead.router.node import NodeProcess
 from pearhead.router.tornadocarrier import TornadoCarrier, TornadoWorkerLink
 from pearhead.runtime.clock import BootClock
@@ -25,7 +26,7 @@
     net = SocketNet(startup.address)
     node = NodeProcess(startup, BootClock(), net, TornadoCarrier(), TornadoWorkerLink(), random.SystemRandom())
     server = HTTPServer(
-        build_front(node, startup),
+        build_front(node, startup, build_node_registry(node, net)),
         max_body_size=startup.bodyLimitBytes,
         max_header_size=startup.headerLimitBytes,
         idle_connection_timeout=60,
--- /dev/null
+++ b/src/pearhead/router/metrics.py
@@ -0,0 +1,121 @@
+"""Collectors (§3.4) of front nodes: the list of workers, requests, connections, the relay, the view."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from prometheus_client import CollectorRegistry, Metric
+from prometheus_client.registry import Collector
+
+from pearhead.router.edge import RequestEdge
+from pearhead.router.gateway import GatewayProcess
+from pearhead.router.node import NodeProcess
+from pearhead.router.roster import RosterKeeper
+from pearhead.router.term import NEVER, TermKeeper
+from pearhead.rpc.metrics import MessageCollector
+from pearhead.runtime.clock import SECOND
+from pearhead.runtime.collectors import InvariantCollector, LinkCollector, LoopLagCollector
+from pearhead.runtime.metrics import build_registry, counter, gauge, labelled_counter, labelled_gauge
+from pearhead.runtime.socketnet import SocketNet
+
+
+class ViewCollector(Collector):
+    """What a node knows to be in force."""
+
+    def __init__(self, keeper: TermKeeper) -> None:
+        self.keeper = keeper
+
+    def collect(self) -> Iterable[Metric]:
+        """Reads the view and when it was last confirmed."""
+        view = self.keeper.view
+        yield gauge("view_number", "The operators' number of the description in force.", view.number)
+        yield gauge("view_index", "The index of the log that the view stands at.", view.index)
+        yield gauge("view_age_seconds", "Time since the view was known to be current.", self._age_seconds())
+
+    def _age_seconds(self) -> float | None:
+        keeper = self.keeper
+        return None if keeper.current_at == NEVER else (keeper.clock.now() - keeper.current_at) / SECOND
+
+
+class RosterCollector(Collector):
+    """What a node knows of workers, and from when."""
+
+    def __init__(self, rosters: RosterKeeper) -> None:
+        self.rosters = rosters
+
+    def collect(self) -> Iterable[Metric]:
+        """Reads the roster and whose turn it is to ask."""
+        rosters = self.rosters
+        backends = rosters.roster.backends
+        leaving_count = sum(backend.is_leaving for backend in backends.values())
+        age_micros = rosters.age_micros()
+        age_seconds = None if age_micros is None else age_micros / SECOND
+        yield gauge("roster_age_seconds", "Time since the list behind the roster was asked.", age_seconds)
+        yield gauge("roster_asker", "1 while this node asks the list for the fleet.", rosters.is_asker)
+        yield counter("roster_list_requests", "Times that this node asked the list.", rosters.list_request_count)
+        yield labelled_gauge(
+            "workers",
+            "Workers known, by state.",
+            "state",
+            {"serving": len(backends) - leaving_count, "leaving": leaving_count},
+        )
+
+
+class GatewayCollector(Collector):
+    """Requests and connections of a front node for opaque requests."""
+
+    def __init__(self, gateway: GatewayProcess, edge: RequestEdge) -> None:
+        self.gateway = gateway
+        self.edge = edge
+
+    def collect(self) -> Iterable[Metric]:
+        """Reads the gate, the edge, the pool and the relay."""
+        gateway, gate, relay = self.gateway, self.gateway.gate, self.gateway.relay
+        worker_connections = sum(len(streams) for streams in gateway.pool.open.values())
+        yield gauge("draining", "1 once SIGTERM came.", gateway.is_draining)
+        yield gauge("open_requests", "Requests under way.", gate.open_requests)
+        yield counter("requests_taken", "Requests read whole.", gate.taken_count)
+        yield counter("requests_taken_draining", "Requests read whole since the drain began.", gateway.taken_draining())
+        yield labelled_counter("requests_ended", "Requests by outcome.", "outcome", gate.outcomes)
+        yield gauge("client_connections", "Callers' connections open.", self.edge.connection_count)
+        yield gauge("worker_connections", "Connections to workers, in use and kept.", worker_connections)
+        yield counter("worker_connections_opened", "Connections to workers opened.", gateway.pool.opened)
+        yield counter("worker_connections_reused", "Requests sent on a kept connection.", gateway.pool.reused)
+        yield gauge("zone_relay", "1 while this node relays for its zone.", relay.is_relaying)
+        yield gauge("zone_relay_members", "Nodes that sent this relay their use of late.", len(relay.members))
+        yield gauge("router_members", "Front nodes known, this one too.", gateway.node_count())
+
+
+class NodeCollector(Collector):
+    """Jobs of a front node for the product's own interface."""
+
+    def __init__(self, node: NodeProcess) -> None:
+        self.node = node
+
+    def collect(self) -> Iterable[Metric]:
+        """Reads the node's counts of jobs."""
+        yield gauge("draining", "1 once SIGTERM came.", self.node.is_draining)
+        yield gauge("open_requests", "Jobs under way.", self.node.open_jobs)
+        yield labelled_counter("requests_ended", "Jobs by outcome.", "outcome", self.node.outcome_counts)
+
+
+def build_gateway_registry(gateway: GatewayProcess, edge: RequestEdge, net: SocketNet) -> CollectorRegistry:
+    """All figures of a front node for opaque requests."""
+    return build_registry(
+        [
+            RosterCollector(gateway.rosters),
+            GatewayCollector(gateway, edge),
+            ViewCollector(gateway.keeper),
+            MessageCollector(gateway.courier),
+            LinkCollector(net),
+            LoopLagCollector(gateway.loop_lag),
+            InvariantCollector(gateway.invariants),
+        ]
+    )
+
+
+def build_node_registry(node: NodeProcess, net: SocketNet) -> CollectorRegistry:
+    """All figures of a front node for the product's own interface."""
+    return build_registry(
+        [NodeCollector(node), ViewCollector(node.keeper), MessageCollector(node.courier), LinkCollector(net)]
+    )
--- a/src/pearhead/router/relay.py
+++ b/src/pearhead/router/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,6 +13,7 @@
 from pearhead.rpc.wire_pb2 import KeptNote, Record, RelayNote, UseNote, WorkerUse
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 
+LOGGER = logging.getLogger("pearhead")
 PERIOD_MICROS = 100 * MILLI
 SILENCE_MICROS = 900 * MILLI
 SHUN_MICROS = 4 * SECOND
@@ -62,6 +64,7 @@
         self.zone_kept: list[KeptNote] = []
         self.far_kept: list[KeptNote] = []
         self.own_told = UseNote()
+        self.is_relaying = False
         courier.on_tell("relay_note", self._take)
 
     def is_active(self) -> bool:
@@ -80,6 +83,8 @@
             await rest(self.clock, PERIOD_MICROS)
             if self.is_active():
                 self._work_once()
+            else:
+                self._note_relaying(False)
 
     # ---- telling ---------------------------------------------------------------------------------
 
@@ -96,9 +101,19 @@
             self.zone_kept, self.own_kept = self.zone_kept + self.own_kept, []
         now_micros = self.clock.now()
         self.members = {n: told for n, told in self.members.items() if told.until_micros > now_micros}
-        if own_relay is None or self.members:
+        self._note_relaying(own_relay is None or bool(self.members))
+        if self.is_relaying:
             self._relay_once(by_zone, includes_own=own_relay is None)
 
+    def _note_relaying(self, is_relaying: bool) -> None:
+        if is_relaying == self.is_relaying:
+            return
+        self.is_relaying = is_relaying
+        if is_relaying:
+            LOGGER.info("router: Relays for its zone. zone=%s members=%d", self.zone, len(self.members))
+        else:
+            LOGGER.info("router: Relays for its zone no more. zone=%s", self.zone)
+
     def _relay_once(self, by_zone: dict[str, list[Record]], includes_own: bool) -> None:
         now_micros = self.clock.now()
         notes = [told.note for told in self.members.values()] + ([self.own_told] if includes_own else [])
--- a/src/pearhead/router/roster.py
+++ b/src/pearhead/router/roster.py
@@ -7,16 +7,19 @@
 import random
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from result import Err, Ok
 
 from pearhead.discovery.directory import Directory
 from pearhead.router.rendezvous import RankBook, score_of
+from pearhead.router.roster_age import RosterAgeWatch
 from pearhead.router.worker_control import Backend, WorkerControl
 from pearhead.rpc.courier import Courier
 from pearhead.rpc.wire_pb2 import ListedWorker, LoadedModel, RosterNote
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 from pearhead.runtime.crew import Crew
+from pearhead.runtime.invariants import Invariant, InvariantCounters
 from pearhead.runtime.net import MAXIMUM_DATAGRAM
 
 LOGGER = logging.getLogger("pearhead")
@@ -36,6 +39,14 @@
 RECENT_MICROS = 3 * SECOND
 DATAGRAM_ROOM = MAXIMUM_DATAGRAM - 100
 LONG_AGO = -(10**12)
+FROM_LIST = "list"
+
+
+class StopReason(Enum):
+    """Why a node stops asking the list for the fleet."""
+
+    LIST_FAILED = "list_failed"
+    OUTRANKED = "outranked"
 
 
 @dataclass(frozen=True)
@@ -141,6 +152,7 @@
         crew: Crew,
         control: WorkerControl,
         beat_micros: int,
+        invariants: InvariantCounters | None = None,
     ) -> None:
         self.identity = identity
         self.courier = courier
@@ -150,7 +162,10 @@
         self.crew = crew
         self.control = control
         self.beat_micros = beat_micros
+        self.invariants = invariants or InvariantCounters(clock)
         self.ranks = RankBook(identity)
+        self.age_watch = RosterAgeWatch()
+        self.list_request_count = 0
         self.watchers: list[Callable[[Roster], None]] = []
         self.merge = RosterMerge()
         self.first_micros = 0
@@ -171,6 +186,11 @@
     def roster(self) -> Roster:
         return self.merge.roster
 
+    def age_micros(self) -> int | None:
+        """Time since the list behind the roster was asked; None before the first."""
+        at_micros = self.roster.at_micros
+        return None if at_micros == LONG_AGO else self.clock.now() - at_micros
+
     def is_first(self) -> bool:
         """Whether this node speaks for the fleet: it asks, or would be the first to."""
         return self.is_asker or self._rank() == 0
@@ -183,6 +203,7 @@
         self.crew.start(self._learn_from_peers())
         while True:
             await rest(self.clock, TICK_MICROS)
+            self._observe_age()
             now_micros = self.clock.now()
             is_alone = not self.directory.members() and now_micros < started_micros + ALONE_MICROS
             if not is_alone and now_micros >= max(self.first_micros, self._due_micros()):
@@ -211,22 +232,33 @@
         if not self.is_asker:
             # The others wait on seeing this, whatever comes of it.
             self._cast_vain()
+        self.list_request_count += 1
         given = await self.control.list_workers(LIST_LIMIT_MICROS)
         listed = given.unwrap_or([])
         if not listed:
             self.failure_count += 1
-            self.is_asker = False
+            self._stop_asking(StopReason.LIST_FAILED)
             if self.failure_count in (1, 10):
                 why = given.err_value if isinstance(given, Err) else "it is empty"
                 LOGGER.warning("router: The list of workers gave nothing. fault=%r", why)
             self._cast_vain()
             return
         self.failure_count = 0
-        self.is_asker = True
+        self._begin_asking()
         self.heard_micros = self.clock.now()
-        self._merge(listed, began_micros)
+        self._merge(listed, began_micros, FROM_LIST)
         self._tell_all({b.name: b for b in listed}, began_micros)
 
+    def _begin_asking(self) -> None:
+        if not self.is_asker:
+            self.is_asker = True
+            LOGGER.info("router: Begins to ask the list for the fleet. rank=%d", self._rank())
+
+    def _stop_asking(self, reason: StopReason) -> None:
+        if self.is_asker:
+            self.is_asker = False
+            LOGGER.info("router: Stops asking the list for the fleet. reason=%s", reason.value)
+
     # ---- telling ---------------------------------------------------------------------------------
 
     def _cast_vain(self) -> None:
@@ -278,7 +310,7 @@
         if at_micros > self.roster.at_micros:
             self.heard_micros = max(self.heard_micros, now_micros)
         if self.is_asker and score_of(identity, SUBJECT) > score_of(self.identity, SUBJECT):
-            self.is_asker = False
+            self._stop_asking(StopReason.OUTRANKED)
         unknown = [w.name for w in note.worker if not w.address and w.name not in self.roster.backends]
         listed = []
         for worker in note.worker:
@@ -287,22 +319,49 @@
             elif worker.name in self.roster.backends:
                 held = self.roster.backends[worker.name]
                 listed.append(dataclasses.replace(held, is_leaving=held.is_leaving or worker.leaving))
-        self._merge(listed, at_micros)
+        self._merge(listed, at_micros, address)
         if any(name not in self.merge.out_until for name in unknown) and not self.is_learning:
             self.crew.start(self._learn_from(address))
 
-    def _merge(self, listed: Iterable[Backend], at_micros: int, adds_only: bool = False) -> None:
+    def _merge(
+        self, listed: Iterable[Backend], at_micros: int, source: str = FROM_LIST, adds_only: bool = False
+    ) -> None:
         before = self.roster
+        leaving_before = set(self.merge.leaving)
+        self._observe_age()
         if adds_only:
             self.merge.learn(listed, at_micros, self.clock.now())
         else:
             self.merge.take(listed, at_micros, self.clock.now())
         for name in before.backends.keys() - self.roster.backends.keys():
             LOGGER.info("router: A worker is gone from the list. worker=%s", name)
+        self._log_leaving(leaving_before, at_micros, source)
+        self._observe_age()
+        self._check_merged(before)
         if self.roster is not before:
             for watcher in self.watchers:
                 watcher(self.roster)
 
+    def _log_leaving(self, leaving_before: set[str], at_micros: int, source: str) -> None:
+        age_millis = (self.clock.now() - at_micros) // MILLI
+        for name in sorted(self.merge.leaving - leaving_before - self.merge.out_until.keys()):
+            LOGGER.info("router: A worker leaves. worker=%s source=%s age_ms=%d", name, source, age_millis)
+
+    def _observe_age(self) -> None:
+        age_micros = self.age_micros()
+        if age_micros is not None:
+            self.age_watch.observe(age_micros)
+
+    def _check_merged(self, before: Roster) -> None:
+        if self.roster is before:
+            return
+        backends = self.roster.backends
+        left = [name for name, held in before.backends.items() if held.is_leaving]
+        returned = [name for name in left if name in backends and not backends[name].is_leaving]
+        self.invariants.check(Invariant.LEAVING_IS_FINAL, not returned, returned)
+        advances = self.roster.at_micros >= before.at_micros
+        self.invariants.check(Invariant.ROSTER_TIME_ADVANCES, advances, (before.at_micros, self.roster.at_micros))
+
     async def _make_whole(self, identity: str, address: str, note: RosterNote) -> RosterNote:
         if not self.roster.backends:
             return RosterNote()
@@ -319,7 +378,7 @@
             if isinstance(given, Ok) and given.ok_value.worker:
                 # Counted from the asking, so never as newer than it is.
                 listed = [unpack_backend(w) for w in given.ok_value.worker]
-                self._merge(listed, asked_micros - given.ok_value.age_micros, adds_only=True)
+                self._merge(listed, asked_micros - given.ok_value.age_micros, address, adds_only=True)
         finally:
             self.is_learning = False
 
--- /dev/null
+++ b/src/pearhead/router/roster_age.py
@@ -0,0 +1,28 @@
+"""RosterAgeWatch (§7.7): logs when a node's list of workers becomes old, and when it is fresh again."""
+
+from __future__ import annotations
+
+import logging
+
+from pearhead.runtime.clock import MILLI, SECOND
+
+LOGGER = logging.getLogger("pearhead")
+OLD_MICROS = 2 * SECOND
+
+
+class RosterAgeWatch:
+    """Told the age at every tick and around every change; logs on crossing `OLD_MICROS` only."""
+
+    def __init__(self) -> None:
+        self.longest_micros = 0
+
+    def observe(self, age_micros: int) -> None:
+        """Takes the present age."""
+        was_old = self.longest_micros > 0
+        if age_micros > OLD_MICROS:
+            self.longest_micros = max(self.longest_micros, age_micros)
+            if not was_old:
+                LOGGER.warning("router: The list of workers is old. age_ms=%d", age_micros // MILLI)
+        elif was_old:
+            LOGGER.info("router: The list of workers is fresh again. longest_ms=%d", self.longest_micros // MILLI)
+            self.longest_micros = 0
--- /dev/null
+++ b/src/pearhead/rpc/metrics.py
@@ -0,0 +1,23 @@
+"""MessageCollector (§3.4): what a process says to others, by kind of message."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from prometheus_client import Metric
+from prometheus_client.registry import Collector
+
+from pearhead.rpc.courier import Courier
+from pearhead.runtime.metrics import labelled_counter
+
+
+class MessageCollector(Collector):
+    """Messages and bytes sent by kind, by connection or datagram."""
+
+    def __init__(self, courier: Courier) -> None:
+        self.courier = courier
+
+    def collect(self) -> Iterable[Metric]:
+        """Reads the courier's counts."""
+        yield labelled_counter("messages_sent", "Messages sent.", "kind", self.courier.sent_counts)
+        yield labelled_counter("message_bytes_sent", "Bytes of messages sent.", "kind", self.courier.sent_bytes)
--- /dev/null
+++ b/src/pearhead/runtime/collectors.py
@@ -0,0 +1,62 @@
+"""Collectors (§3.4) of what all processes keep: links, the event loop, invariants."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from prometheus_client import Metric
+from prometheus_client.registry import Collector
+
+from pearhead.runtime.clock import SECOND
+from pearhead.runtime.invariants import InvariantCounters
+from pearhead.runtime.loop_lag import LoopLag
+from pearhead.runtime.metrics import counter, gauge, labelled_counter
+from pearhead.runtime.socketnet import SocketNet
+
+
+class LinkCollector(Collector):
+    """The connections out to other processes, and the datagrams."""
+
+    def __init__(self, net: SocketNet) -> None:
+        self.net = net
+
+    def collect(self) -> Iterable[Metric]:
+        """Reads the queues and the counts of losses."""
+        links, losses = self.net.out_links.values(), self.net.losses
+        yield gauge("links", "Connections out, kept or tried.", len(links))
+        yield gauge("link_queued_frames", "Frames that wait on connections out.", sum(len(x.waiting) for x in links))
+        yield gauge("link_queued_bytes", "Bytes that wait on connections out.", sum(x.waiting_size for x in links))
+        yield gauge("link_longest_queue_bytes", "The longest queue.", max((x.waiting_size for x in links), default=0))
+        yield labelled_counter(
+            "link_frames_dropped",
+            "Frames that were given up before they were written.",
+            "reason",
+            {"stale": losses.stale_frames, "queue_full": losses.overflow_frames},
+        )
+        yield counter("link_write_failures", "Writes that ended a connection out.", losses.failed_writes)
+        yield counter("datagram_errors", "Datagrams that the system refused.", losses.refused_datagrams)
+        yield gauge("datagram_queued_bytes", "Bytes of datagrams that wait.", self.net.cast_queue_size())
+
+
+class LoopLagCollector(Collector):
+    """The lateness of the event loop."""
+
+    def __init__(self, loop_lag: LoopLag) -> None:
+        self.loop_lag = loop_lag
+
+    def collect(self) -> Iterable[Metric]:
+        """Reads the greatest lateness."""
+        lag_seconds = self.loop_lag.maximum_micros() / SECOND
+        yield gauge("event_loop_lag_seconds", "The greatest lateness of a timer in the last 10 to 20 s.", lag_seconds)
+
+
+class InvariantCollector(Collector):
+    """Violations of invariants."""
+
+    def __init__(self, invariants: InvariantCounters) -> None:
+        self.invariants = invariants
+
+    def collect(self) -> Iterable[Metric]:
+        """Reads the count of each, also those that were never violated."""
+        counts = {invariant.value: count for invariant, count in self.invariants.violations.items()}
+        yield labelled_counter("invariant_violations", "Checks that did not hold.", "invariant", counts)
--- /dev/null
+++ b/src/pearhead/runtime/invariants.py
@@ -0,0 +1,55 @@
+"""Invariants (§3.4): what must always hold, checked in production and counted where it does not."""
+
+from __future__ import annotations
+
+import logging
+from enum import Enum
+
+from pearhead.runtime.clock import SECOND, Clock
+
+LOGGER = logging.getLogger("pearhead")
+LOG_GAP_MICROS = SECOND
+
+
+class Invariant(Enum):
+    """What is checked. The value is the label of the metric and the field of the log line."""
+
+    LEAVING_IS_FINAL = "leaving_is_final"
+    ROSTER_TIME_ADVANCES = "roster_time_advances"
+
+
+class InvariantViolationError(AssertionError):
+    """An invariant does not hold, and the counters are strict."""
+
+    def __init__(self, invariant: Invariant, detail: object) -> None:
+        super().__init__(f"{invariant.value}: {detail}")
+        self.invariant = invariant
+        self.detail = detail
+
+
+class InvariantCounters:
+    """Counts violations by invariant. Strict counters raise as well, as tests want it; others only log."""
+
+    def __init__(self, clock: Clock, strict: bool = False) -> None:
+        self.clock = clock
+        self.strict = strict
+        self.violations: dict[Invariant, int] = dict.fromkeys(Invariant, 0)
+        self.logged_micros: dict[Invariant, int] = {}
+
+    def check(self, name: Invariant, holds: bool, detail: object = "") -> None:
+        """Notes a violation unless it holds. The detail is turned into text only then."""
+        if holds:
+            return
+        self.violations[name] += 1
+        self._log(name, detail)
+        if self.strict:
+            raise InvariantViolationError(name, detail)
+
+    def _log(self, name: Invariant, detail: object) -> None:
+        """Each kind at most once a second: a violation in a loop must not cost the processor."""
+        now_micros = self.clock.now()
+        logged_micros = self.logged_micros.get(name)
+        if logged_micros is not None and now_micros - logged_micros < LOG_GAP_MICROS:
+            return
+        self.logged_micros[name] = now_micros
+        LOGGER.error("daemon: An invariant does not hold. invariant=%s detail=%r", name.value, detail)
--- /dev/null
+++ b/src/pearhead/runtime/loop_lag.py
@@ -0,0 +1,43 @@
+"""LoopLag (§3.4): how late the event loop runs its timers, measured by a loop that the process has anyway."""
+
+from __future__ import annotations
+
+from pearhead.runtime.clock import SECOND, Clock, rest
+
+WINDOW_MICROS = 10 * SECOND
+
+
+class LoopLag:
+    """The greatest lateness within the last one to two windows, so that reading it changes nothing."""
+
+    def __init__(self, clock: Clock, window_micros: int = WINDOW_MICROS) -> None:
+        self.clock = clock
+        self.window_micros = window_micros
+        self.window_began = clock.now()
+        self.greatest_micros = 0
+        self.greatest_before_micros = 0
+
+    async def rest(self, delay_micros: int) -> None:
+        """Rests as `clock.rest` does, and notes how late it woke."""
+        due_micros = self.clock.now() + delay_micros
+        await rest(self.clock, delay_micros)
+        self.note(self.clock.now() - due_micros)
+
+    def note(self, late_micros: int) -> None:
+        """Takes one measurement."""
+        self._turn_window()
+        self.greatest_micros = max(self.greatest_micros, late_micros)
+
+    def maximum_micros(self) -> int:
+        """The greatest lateness of late."""
+        self._turn_window()
+        return max(self.greatest_micros, self.greatest_before_micros)
+
+    def _turn_window(self) -> None:
+        elapsed_micros = self.clock.now() - self.window_began
+        if elapsed_micros < self.window_micros:
+            return
+        is_next = elapsed_micros < 2 * self.window_micros
+        self.greatest_before_micros = self.greatest_micros if is_next else 0
+        self.greatest_micros = 0
+        self.window_began = self.clock.now()
--- a/src/pearhead/runtime/socketnet.py
+++ b/src/pearhead/runtime/socketnet.py
@@ -10,6 +10,7 @@
 import unittest
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from pearhead.runtime.clock import MILLI, SECOND, BootClock, Clock, rest
 from pearhead.runtime.net import MAXIMUM_FRAME, Receiver
@@ -46,6 +47,16 @@
             own_socket.setsockopt(level, name, value)
 
 
+@dataclass
+class LinkLosses:
+    """What a net gave up, counted since the start of the process."""
+
+    stale_frames: int = 0
+    overflow_frames: int = 0
+    failed_writes: int = 0
+    refused_datagrams: int = 0
+
+
 class _CastProtocol(asyncio.DatagramProtocol):
     def __init__(self, owner: SocketNet) -> None:
         self.owner = owner
@@ -53,13 +64,17 @@
     def datagram_received(self, data: bytes, addr: tuple[str | object, int]) -> None:
         self.owner.take(data)
 
+    def error_received(self, exc: Exception) -> None:
+        self.owner.losses.refused_datagrams += 1
+
 
 class OutLink:
     """One connection out: frames in order, and none that waited for longer than a second (§3.5)."""
 
-    def __init__(self, target_address: str, clock: Clock) -> None:
+    def __init__(self, target_address: str, clock: Clock, losses: LinkLosses) -> None:
         self.host_name, self.port_number = split_address(target_address)
         self.clock = clock
+        self.losses = losses
         self.waiting: deque[tuple[int, bytes]] = deque()
         self.waiting_size = 0
         self.wake = asyncio.Event()
@@ -71,6 +86,7 @@
         self.waiting_size += len(frame)
         while len(self.waiting) > QUEUE_LIMIT or (self.waiting_size > QUEUE_SIZE and len(self.waiting) > 1):
             self._take_first()
+            self.losses.overflow_frames += 1
         self.wake.set()
 
     async def run(self) -> None:
@@ -95,6 +111,7 @@
     def _drop_stale(self) -> None:
         while self.waiting and self.clock.now() - self.waiting[0][0] > FRESH_MICROS:
             self._take_first()
+            self.losses.stale_frames += 1
 
     def _take_batch(self) -> bytes:
         """What waits goes by one call of the system."""
@@ -137,6 +154,7 @@
                     if transport.get_write_buffer_size() >= left_size:
                         raise
         except (OSError, TimeoutError):
+            self.losses.failed_writes += 1
             self._reset()
 
     def _reset(self) -> None:
@@ -155,6 +173,7 @@
         self.clock: Clock = clock or BootClock()
         self.frame_receiver: Receiver = lambda frame_bytes: None
         self.out_links: dict[str, OutLink] = {}
+        self.losses = LinkLosses()
         self.own_tasks: set[asyncio.Task[None]] = set()
         self.stream_server: asyncio.Server | None = None
         self.cast_transport: asyncio.DatagramTransport | None = None
@@ -188,10 +207,17 @@
         if self.cast_transport is not None:
             self.cast_transport.sendto(datagram_bytes, split_address(target_address))
 
+    def cast_queue_size(self) -> int:
+        """Bytes of datagrams that the system did not take yet."""
+        if self.cast_transport is None:
+            return 0
+        # The type stubs do not name it, but the event loop's datagram transport has it.
+        return int(self.cast_transport.get_write_buffer_size())  # type: ignore[attr-defined]
+
     def send(self, target_address: str, frame_bytes: bytes) -> None:
         out_link = self.out_links.get(target_address)
         if out_link is None:
-            out_link = self.out_links[target_address] = OutLink(target_address, self.clock)
+            out_link = self.out_links[target_address] = OutLink(target_address, self.clock, self.losses)
             send_task = asyncio.get_running_loop().create_task(out_link.run())
             self.own_tasks.add(send_task)
             send_task.add_done_callback(self.own_tasks.discard)
--- a/tests/workerfleet.py
+++ b/tests/workerfleet.py
@@ -41,6 +41,7 @@
     Worker,
 )
 from pearhead.runtime.clock import MILLI, SECOND, rest
+from pearhead.runtime.invariants import InvariantCounters
 from pearhead.testbed.simulator.world import Machine, SimNet, World, void
 
 CORE = "core:1"
@@ -353,7 +354,15 @@
         self.control = ModelControl(fleet.platform, machine)
         self.book = VersionBook(machine)
         self.rosters = RosterKeeper(
-            self.identity, self.courier, self.directory, machine, chance, machine.crew, self.control, SECOND
+            self.identity,
+            self.courier,
+            self.directory,
+            machine,
+            chance,
+            machine.crew,
+            self.control,
+            SECOND,
+            InvariantCounters(machine, strict=True),
         )
         self.rosters.watchers.append(self.book.take_roster)
         self.recorder = RosterRecorder(self.rosters, self.keeper, self.keeper, machine)
