--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -20,13 +20,16 @@
 from prometheus_client.parser import text_string_to_metric_families  # noqa: E402
 from settings import METRICS_PORT, parse_settings  # noqa: E402
 from tornado.httpclient import AsyncHTTPClient  # noqa: E402
+from tornado.httpserver import HTTPServer  # noqa: E402
 
 from pearhead.config.startup import Startup  # noqa: E402
 from pearhead.control_plane.core import CoreProcess  # noqa: E402
 from pearhead.control_plane.metrics import ROLES, CoreCollector  # noqa: E402
 from pearhead.router.edge import RequestEdge  # noqa: E402
+from pearhead.router.front import build_front  # noqa: E402
 from pearhead.router.gateway import GatewayProcess, GatewaySettings  # noqa: E402
-from pearhead.router.metrics import RosterCollector, build_gateway_registry  # noqa: E402
+from pearhead.router.metrics import RosterCollector, build_gateway_registry, build_node_registry  # noqa: E402
+from pearhead.router.node import NodeProcess  # noqa: E402
 from pearhead.router.relay import PERIOD_MICROS  # noqa: E402
 from pearhead.router.roster_age import OLD_MICROS, RosterAgeWatch  # noqa: E402
 from pearhead.router.worker_control import Backend  # noqa: E402
@@ -38,7 +41,7 @@
 from pearhead.runtime.invariants import Invariant, InvariantCounters, InvariantViolationError  # noqa: E402
 from pearhead.runtime.loop_lag import LoopLag  # noqa: E402
 from pearhead.runtime.metrics import METRICS_PATH, build_registry, serve_metrics  # noqa: E402
-from pearhead.runtime.socketnet import FRESH_MICROS, QUEUE_LIMIT, OutLink, SocketNet  # noqa: E402
+from pearhead.runtime.socketnet import FRESH_MICROS, QUEUE_LIMIT, OutLink, SocketNet, split_address  # noqa: E402
 from pearhead.testbed.simulator.world import World, pause, run_virtual  # noqa: E402
 from tests.test_relay import Fleet as RelayFleet  # noqa: E402
 from tests.workerfleet import WorkerFleet  # noqa: E402
@@ -237,6 +240,20 @@
                     self.assertIsNone(serve_metrics(address, CollectorRegistry()), address)
                 self.assertEqual(len(caught.records), 1)
 
+    async def test_the_products_own_front_serves_them_beside_its_jobs(self) -> None:
+        clock, net = BootClock(), SocketNet(free_address())
+        startup = Startup(address=net.own_address, httpAddress="a:2", area="a", seeds=["s:1"])
+        unused: Any = None
+        node = NodeProcess(startup, clock, net, unused, unused, random.Random(1))
+        server = HTTPServer(build_front(node, startup, build_node_registry(node, net)))
+        self.addCleanup(server.stop)
+        address = free_address()
+        host_name, port_number = split_address(address)
+        server.listen(port_number, host_name)
+        node.outcome_counts["done"] = 3
+        answer = await AsyncHTTPClient().fetch(f"http://{address}{METRICS_PATH}")
+        self.assertEqual(parse(answer.body.decode())["requests_ended_total{done}"], 3)
+
     def test_the_deploy_file_names_the_port_and_path_that_are_served(self) -> None:
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         told = {name: role["metrics"] for name, role in deploy["roles"].items()}
--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -7,6 +7,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -17,6 +18,8 @@
 from pathlib import Path
 from typing import IO, Any
 
+from prometheus_client.parser import text_string_to_metric_families
+
 ROOT = Path(__file__).resolve().parent.parent
 LINE = re.compile(r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{6}Z (INFO|WARNING|ERROR) [a-z_]+: [A-Z].*")
 WAIT_SECONDS = 20.0
@@ -104,6 +107,62 @@
         self.assertEqual(process.wait(WAIT_SECONDS), 0)
         self.check_log(log_path)
 
+    def start_core(self) -> tuple[subprocess.Popen[bytes], Path]:
+        data_folder = self.folder / "data"
+        data_folder.mkdir()
+        return self.start(
+            "run_control_plane.py",
+            Serves=["control"],
+            BindAddresses={"Control": f"{self.host}:8169"},
+            DataDir=str(data_folder),
+            FirstStart=True,
+        )
+
+    def start_front(self) -> tuple[subprocess.Popen[bytes], Path]:
+        addresses = {"Front": f"{self.host}:8167", "Readiness": f"{self.host}:8162"}
+        return self.start("run_router.py", Serves=["front"], BindAddresses=addresses)
+
+    def fetch_figures(self) -> dict[str, float]:
+        with urllib.request.urlopen(f"http://{self.host}:7655/metrics", timeout=2) as answer:
+            text = answer.read().decode()
+        families = text_string_to_metric_families(text)
+        return {sample.name: sample.value for family in families for sample in family.samples}
+
+    def test_a_core_tells_its_figures(self) -> None:
+        _, log_path = self.start_core()
+        self.wait_for(log_path, "consensus: Leads.")
+        figures = self.fetch_figures()
+        self.assertEqual(figures["pearhead_raft_voters"], 1)
+        self.assertGreaterEqual(figures["pearhead_raft_term"], 1)
+
+    def test_a_front_node_tells_its_figures_until_it_ends(self) -> None:
+        process, log_path = self.start_front()
+        self.wait_for(log_path, "router: Listens.")
+        self.assertEqual(self.fetch_figures()["pearhead_draining"], 0)
+        status_of(f"{self.host}:8167", "/x/")
+        process.send_signal(signal.SIGTERM)
+        self.wait_for(log_path, "daemon: Drains.")
+        status_of(f"{self.host}:8167", "/x/")
+        figures = self.fetch_figures()
+        self.assertEqual(figures["pearhead_draining"], 1)
+        self.assertEqual(figures["pearhead_requests_taken_total"], 2)
+        self.assertEqual(figures["pearhead_requests_taken_draining_total"], 1)
+        self.assertEqual(process.wait(WAIT_SECONDS), 0)
+        self.assertIn("router: The drain is over. open_before=0 taken=1 cut=0", log_path.read_text())
+        self.check_log(log_path)
+
+    def test_a_port_in_use_keeps_no_program_from_running(self) -> None:
+        with socket.socket() as holder:
+            holder.bind((self.host, 7655))
+            holder.listen()
+            process, log_path = self.start_front()
+            self.wait_for(log_path, "router: Listens.")
+            self.assertIn("daemon: The metrics can't be served.", log_path.read_text())
+            self.assertEqual(status_of(f"{self.host}:8162", "/v1/readiness"), 503)
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(process.wait(WAIT_SECONDS), 0)
+            self.check_log(log_path)
+
     def test_an_address_in_use_is_told_in_one_line(self) -> None:
         data_folder = self.folder / "data"
         data_folder.mkdir()
