--- a/src/pearhead/router/gateway.py
+++ b/src/pearhead/router/gateway.py
@@ -180,13 +180,9 @@
         self.crew.stop()
         self.courier.stop()
 
-    async def drain(self, least_micros: int) -> None:
-        """Goes on serving for a while, as callers still come; then waits for what is open."""
+    def begin_drain(self) -> None:
+        """From now on it is not ready, and orders no more loads."""
         self.is_draining = self.roll_out.is_draining = True
-        end_micros = self.clock.now() + self.startup.drainMicros
-        least_end = self.clock.now() + least_micros
-        while self.clock.now() < least_end or (self.gate.open_requests and self.clock.now() < end_micros):
-            await rest(self.clock, 20 * MILLI)
 
     def is_ready(self) -> bool:
         """Knows what is in force, and a worker; a draining node takes no new connections."""
