--- a/src/pearhead/router/edge.py
+++ b/src/pearhead/router/edge.py
@@ -30,7 +30,9 @@
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from pearhead.config.description import Limits
+from pearhead.router.drain import DRAINING_DETAIL, DrainSchedule, DrainState
 from pearhead.router.errors import ErrorKind, Refusal
+from pearhead.router.lingering import LingeringSockets
 from pearhead.router.opaque import AnswerPen, OpaqueRequest
 from pearhead.runtime.clock import MILLI, SECOND, Clock, Timer
 
@@ -44,6 +46,8 @@
 # Tornado's own bound; the limits in force are checked here.
 NO_BODY_LIMIT = 2**62
 LENGTH_DIGITS = 18
+# At the end no more connections are accepted than this, however fast callers make them.
+MOST_ACCEPTED = 4_096
 LEAST_LOOK_MICROS = 20 * MILLI
 # Limits that became shorter are followed this late at most.
 MOST_LOOK_MICROS = SECOND
@@ -137,7 +141,10 @@
         self.start, self.headers = start_line, headers
         self.arrived_micros = self.edge.clock.now()
         stream = self.edge.take_head(self.connection)
-        if stream.is_head_too_large:
+        self.edge.reading[self] = None
+        if not self.edge.drain.may_accept():
+            self.refuse_draining()
+        elif stream.is_head_too_large:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
         elif _told_length(headers) > self.edge.limits().body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
@@ -150,22 +157,35 @@
         if self.body_size > self.edge.limits().body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
 
+    def refuse_draining(self) -> None:
+        """Answers that this node leaves; the request goes to no worker."""
+        if self.refused is not None:
+            return
+        told = self.edge.reader.read(self.start.method, self.start.path, self.headers, b"", self.arrived_micros)
+        request = None if isinstance(told, Err) else told.ok_value
+        self._answer_early(Refusal(ErrorKind.DRAINING, DRAINING_DETAIL), request=request)
+
     def _refuse(self, status: HTTPStatus, detail: str) -> None:
+        self._answer_early(Refusal(ErrorKind.TOO_LARGE, detail), status)
+
+    def _answer_early(self, refusal: Refusal, status: int = 0, request: OpaqueRequest | None = None) -> None:
         """Answers at once and ends the connection; what still comes is read and dropped for a while first."""
         assert isinstance(self.connection, HTTP1Connection)
         self.chunks = []
         self.headers.pop("Expect", None)
         self.connection.set_body_timeout(REFUSED_BODY_SECONDS)
         self.refused = ConnectionPen(self.connection, lambda: True)
-        self.edge.refuse(self.refused, self.start.method, Refusal(ErrorKind.TOO_LARGE, detail), status)
+        self.edge.refuse(self.refused, self.start.method, refusal, status, request)
 
     def finish(self) -> None:
+        self.edge.reading.pop(self, None)
         if self.refused is not None:
             return self.refused.finish()
         body, self.chunks = b"".join(self.chunks), []
         self.edge.take(self.connection, self.start, self.headers, body, self.arrived_micros)
 
     def on_connection_close(self) -> None:
+        self.edge.reading.pop(self, None)
         self.chunks = []
 
 
@@ -183,6 +203,18 @@
             return super()._check_max_bytes(delimiter, size)
         self.edge.note_head(self, size)
 
+    def close_fd(self) -> None:
+        """While the node drains, a connection ends once its last answer is delivered."""
+        if self.socket is not None and self.edge.linger(self.socket):
+            # The socket has a new owner.
+            self.socket = None  # type: ignore[assignment]
+        else:
+            super().close_fd()
+
+    def has_next(self) -> bool:
+        """Between two requests: whether the next has begun to arrive."""
+        return bool(self._read_buffer_size) or self.has_unread()  # The library has no other word for it.
+
     def has_unread(self) -> bool:
         """Whether bytes wait that this process has not read yet."""
         if self.socket is None:
@@ -204,17 +236,47 @@
         self.edge = edge
 
     def _handle_connection(self, connection: socket.socket, address: Any) -> None:
-        self.handle_stream(ClientStream(connection, self.edge, max_buffer_size=self.max_buffer_size), address)
+        stream = ClientStream(connection, self.edge, max_buffer_size=self.max_buffer_size)
+        self.edge.streams.add(stream)
+        self.handle_stream(stream, address)
+
+    def stop_accepting(self) -> None:
+        """Takes the connections that are made already, closes the listening sockets and all idle connections."""
+        for listener in list(self._sockets.values()):
+            self._accept_waiting(listener)
+        self.stop()
+        self.edge.close_idle()
+
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        """The kernel would reset those that nobody accepted."""
+        for _ in range(MOST_ACCEPTED):
+            try:
+                connection, address = listener.accept()
+            except OSError:
+                return
+            connection.setblocking(False)
+            self._handle_connection(connection, address)
+
+    def refuse_incoming(self) -> None:
+        self.edge.refuse_incoming()
+
+    def open_count(self) -> int:
+        return self.edge.open_count()
+
+    def unanswered_count(self) -> int:
+        return sum(not task.done() for task in self.edge.tasks) + len(self.edge.reading)
 
     def on_close(self, server_conn: object) -> None:
         assert isinstance(server_conn, HTTP1ServerConnection) and isinstance(server_conn.stream, ClientStream)
         self.edge.forget(server_conn.stream)
+        self.edge.streams.discard(server_conn.stream)
         super().on_close(server_conn)
 
 
 class RequestEdge(HTTPServerConnectionDelegate):
     """`limits`: those in force now; asked for each head, so cheap. `resting` and `heads` hold since when a connection
-    has been idle, or its head coming in, the longest first."""
+    has been idle, or its head coming in, the longest first; `reading`: requests whose body comes in; `streams`: all
+    connections. Without a `drain` it never drains."""
 
     def __init__(
         self,
@@ -222,12 +284,16 @@
         reader: RequestReader,
         handler: Handler,
         limits: Callable[[], ClientLimits],
+        drain: DrainState | None = None,
     ) -> None:
         self.clock = clock
         self.reader = reader
         self.handler = handler
         self.limits = limits
-        self.is_draining = False
+        self.drain = drain or DrainState(clock, DrainSchedule.of_grace(SECOND))
+        self.lingering = LingeringSockets()
+        self.streams: set[ClientStream] = set()
+        self.reading: dict[_RequestDelegate, None] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.resting: dict[ClientStream, int] = {}
         self.heads: dict[ClientStream, int] = {}
@@ -235,9 +301,13 @@
 
     def start_request(self, server_conn: object, request_conn: HTTPConnection) -> HTTPMessageDelegate:
         assert isinstance(request_conn, HTTP1Connection) and isinstance(request_conn.stream, ClientStream)
-        request_conn.stream.is_head_too_large = False
-        self.resting[request_conn.stream] = self.clock.now()
+        stream = request_conn.stream
+        stream.is_head_too_large = False
+        self.resting[stream] = self.clock.now()
         self._plan_look()
+        if not self.drain.may_accept() and not stream.has_next():
+            # The library finds it closed when it goes on to read.
+            stream.close()
         return _RequestDelegate(self, request_conn)
 
     def on_close(self, server_conn: object) -> None:
@@ -288,9 +358,39 @@
                 stream.close()
         self._plan_look()
 
-    def refuse(self, pen: ConnectionPen, method: str, refusal: Refusal, status: int = 0) -> None:
+    def close_idle(self) -> None:
+        """Ends the connections of which nothing is left to be read; what has begun to arrive is read and answered."""
+        for stream in list(self.resting):
+            if stream.reading() and not stream.has_unread():
+                stream.close()
+
+    def refuse_incoming(self) -> None:
+        """Answers what has not arrived whole, and ends its connection."""
+        for delegate in list(self.reading):
+            delegate.refuse_draining()
+            delegate.finish()
+        for stream in list(self.heads):
+            _write_bare(stream, HTTPStatus.SERVICE_UNAVAILABLE)
+            stream.close()
+
+    def open_count(self) -> int:
+        """Connections that are not closed, and closed ones whose last answer is not delivered yet."""
+        return sum(not stream.closed() for stream in self.streams) + self.lingering.count()
+
+    def linger(self, connection: socket.socket) -> bool:
+        """Whether this edge takes over a connection that is to be closed."""
+        return self.drain.is_draining() and self.lingering.take(connection)
+
+    def refuse(
+        self,
+        pen: ConnectionPen,
+        method: str,
+        refusal: Refusal,
+        status: int = 0,
+        request: OpaqueRequest | None = None,
+    ) -> None:
         """Writes an answer of this node itself; `status` is the reader's own unless it is told."""
-        told_status, headers, answer = self.reader.refusal(None, refusal)
+        told_status, headers, answer = self.reader.refusal(request, refusal)
         headers["Content-Length"] = str(len(answer))
         pen.begin(status or told_status, "", headers)
         if method != "HEAD":
@@ -304,11 +404,14 @@
         body: bytes,
         arrived_micros: int,
     ) -> None:
-        pen = ConnectionPen(connection, lambda: self.is_draining)
+        pen = ConnectionPen(connection, self.drain.is_draining)
         request = self.reader.read(start.method, start.path, headers, body, arrived_micros)
         if isinstance(request, Err):
             self.refuse(pen, start.method, request.err_value)
             return pen.finish()
+        if not self.drain.may_accept():
+            self.refuse(pen, start.method, Refusal(ErrorKind.DRAINING, DRAINING_DETAIL), request=request.ok_value)
+            return pen.finish()
         task = asyncio.get_running_loop().create_task(self._run(request.ok_value, pen))
         # Nobody reads the answer any more: its worker is let go of.
         pen.on_gone = task.cancel
--- a/src/pearhead/router/gate.py
+++ b/src/pearhead/router/gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import logging
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 
 from pearhead.config.description import Route, Tenant
 from pearhead.config.view import View
+from pearhead.router.drain import DRAINING_DETAIL, DrainSchedule, DrainState
 from pearhead.router.errors import ErrorKind, Refusal
 from pearhead.router.event_stream import EventSplitter
 from pearhead.router.fleet_budget import FleetBudget
@@ -64,10 +66,11 @@
         """None while the node may not serve by what it knows."""
 
 
-@dataclass
+@dataclass(eq=False)
 class Passage:
     """One request on its way. `may_have_run`: a worker may have begun it; `has_begun`: the caller has a head;
-    `is_fresh`: it was sent to no worker and waited for no other's read."""
+    `is_fresh`: it was sent to no worker and waited for no other's read; `is_ending`: `task`, which carries it, was
+    cancelled to give it its final answer before the process ends."""
 
     request: OpaqueRequest
     pen: AnswerPen
@@ -80,6 +83,8 @@
     has_begun: bool = False
     is_fresh: bool = True
     is_done: bool = False
+    is_ending: bool = False
+    task: asyncio.Task[None] | None = None
     tried: set[str] = field(default_factory=set)
     retry_micros: int = SOON_MICROS
 
@@ -104,6 +109,7 @@
         node_count: Callable[[], int],
         note_versions: Callable[[str, AnswerHead], None],
         reads: ReadBook | None = None,
+        drain: DrainState | None = None,
     ) -> None:
         self.clock = clock
         self.current = current
@@ -115,51 +121,61 @@
         self.node_count = node_count
         self.note_versions = note_versions
         self.reads = reads or ReadBook(clock, placer.expect, lambda note: None)
-        self.open_requests = 0
+        self.drain = drain or DrainState(clock, DrainSchedule.of_grace(SECOND))
+        self.passages: set[Passage] = set()
         self.outcomes: dict[str, int] = {}
 
     async def serve(self, request: OpaqueRequest, pen: AnswerPen) -> None:
         """Ends with a whole answer, a refusal, or an aborted connection; nothing is left open behind it."""
-        passage = Passage(request, pen, EventSplitter(request.last_event_id))
-        self.open_requests += 1
+        passage = Passage(request, pen, EventSplitter(request.last_event_id), task=asyncio.current_task())
+        self.passages.add(passage)
         try:
-            await self._hold_until_known(request, pen)
+            await self._pass(passage)
+        except asyncio.CancelledError:
+            if not passage.is_ending:
+                raise
+            self._end_passage(passage)
+        finally:
+            self.passages.discard(passage)
+
+    async def _pass(self, passage: Passage) -> None:
+        """From the first look at what is in force to the answer."""
+        request, pen = passage.request, passage.pen
+        await self._hold_until_known(request, pen)
+        looked = self._look(request)
+        if isinstance(looked, Err):
+            return self._refuse(passage, looked.err_value)
+        way = looked.ok_value
+        wait_micros = min(request.wait_micros or way.route.deadline_micros, way.route.deadline_micros)
+        passage.deadline_micros = request.arrived_micros + wait_micros
+        self.budget.pay_in(way.route.splits[0].service, self.node_count())
+        last = Refusal(ErrorKind.NO_WORKER, "no worker took it", passage.retry_micros)
+        while not passage.is_done:
+            if pen.is_gone():
+                return self._count("caller_gone")
+            left_micros = passage.deadline_micros - self.clock.now()
+            if left_micros <= 0:
+                last = Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
+                break
             looked = self._look(request)
             if isinstance(looked, Err):
-                return self._refuse(passage, looked.err_value)
+                last = looked.err_value
+                break
             way = looked.ok_value
-            wait_micros = min(request.wait_micros or way.route.deadline_micros, way.route.deadline_micros)
-            passage.deadline_micros = request.arrived_micros + wait_micros
-            self.budget.pay_in(way.route.splits[0].service, self.node_count())
-            last = Refusal(ErrorKind.NO_WORKER, "no worker took it", passage.retry_micros)
-            while not passage.is_done:
-                if pen.is_gone():
-                    return self._count("caller_gone")
-                left_micros = passage.deadline_micros - self.clock.now()
-                if left_micros <= 0:
-                    last = Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
-                    break
-                looked = self._look(request)
-                if isinstance(looked, Err):
-                    last = looked.err_value
-                    break
-                way = looked.ok_value
-                if not self._may_try(passage, way.route):
-                    break
-                chosen = self.placer.choose(way.view, way.route, request, way.tenant, frozenset(passage.tried))
-                if isinstance(chosen, Err):
-                    last = chosen.err_value
-                    break
-                choice = chosen.ok_value
-                if passage.is_fresh and await self.reads.wait_for(choice, request, left_micros // 4):
-                    passage.is_fresh = False
-                    continue
+            if not self._may_try(passage, way.route):
+                break
+            chosen = self.placer.choose(way.view, way.route, request, way.tenant, frozenset(passage.tried))
+            if isinstance(chosen, Err):
+                last = chosen.err_value
+                break
+            choice = chosen.ok_value
+            if passage.is_fresh and await self.reads.wait_for(choice, request, left_micros // 4):
                 passage.is_fresh = False
-                last = await self._carry(passage, way, choice)
-            if not passage.is_done:
-                self._give_up(passage, last)
-        finally:
-            self.open_requests -= 1
+                continue
+            passage.is_fresh = False
+            last = await self._carry(passage, way, choice)
+        if not passage.is_done:
+            self._give_up(passage, last)
 
     # ---- what is in force ------------------------------------------------------------------------
 
@@ -179,6 +195,8 @@
         return self.placer.knows_workers()
 
     def _look(self, request: OpaqueRequest) -> Result[Way, Refusal]:
+        if not self.drain.may_accept():
+            return Err(Refusal(ErrorKind.DRAINING, DRAINING_DETAIL))
         view = self.current.view()
         if view is None:
             back_micros = NOT_CURRENT_MICROS + _spread(request.request_id, NOT_CURRENT_SPREAD_MICROS)
@@ -249,6 +267,7 @@
             passage.had_run = passage.may_have_run
             passage.may_have_run = True
             waiting.begin()
+            self.drain.check_send(request.request_id)
             call.send(request.method, request.target, headers, request.body)
             waiting.read = self.reads.begin(choice, request)
             return await self._relay(passage, way, choice, directions, call, waiting, sent_micros)
@@ -394,6 +413,22 @@
 
     # ---- ends --------------------------------------------------------------------------------------
 
+    def open_count(self) -> int:
+        """Requests that have no whole answer yet."""
+        return len(self.passages)
+
+    def end_open(self) -> None:
+        """Gives each open request its final answer; one of which a part was written is cut."""
+        for passage in self.passages:
+            passage.is_ending = True
+            if passage.task is not None:
+                passage.task.cancel()
+
+    def _end_passage(self, passage: Passage) -> None:
+        if not passage.is_done:
+            LOGGER.warning("router: Ends before a request. tries=%d", passage.tries)
+            self._give_up(passage, Refusal(ErrorKind.DRAINING, DRAINING_DETAIL))
+
     def _give_up(self, passage: Passage, last: Refusal) -> None:
         if passage.has_begun:
             # The caller has a part of a stream: it must not look whole.
--- a/src/pearhead/router/gateway.py
+++ b/src/pearhead/router/gateway.py
@@ -11,6 +11,7 @@
 from pearhead.discovery.directory import Directory
 from pearhead.invalidation.listener import Listener
 from pearhead.router.core_commander import CoreCommander
+from pearhead.router.drain import DrainSchedule, DrainState
 from pearhead.router.edge import ClientLimits
 from pearhead.router.fleet_budget import FleetBudget
 from pearhead.router.gate import Gate
@@ -42,6 +43,8 @@
 USE_REPEAT_MICROS = 600 * MILLI
 SWEEP_MICROS = SECOND
 SAMPLE_SIZE = 3
+# How long after SIGTERM the process is killed, where nobody tells it.
+GRACE_MICROS = 8 * SECOND
 
 
 @dataclass(frozen=True)
@@ -58,6 +61,7 @@
     list_micros: int = SECOND
     least_kept_tokens: int = 512
     log_stats_micros: int = 60 * SECOND
+    drain_schedule: DrainSchedule = DrainSchedule.of_grace(GRACE_MICROS)
 
 
 class GatewayProcess:
@@ -142,6 +146,7 @@
         budget = FleetBudget(clock, settings.retry_ratio, settings.retry_slack, settings.retry_window_micros)
         self.reads = ReadBook(clock, self.placer.expect, self._tell_read)
         self.courier.on_tell("read_note", self._take_read)
+        self.drain = DrainState(clock, settings.drain_schedule)
         self.gate = Gate(
             clock,
             self,
@@ -153,9 +158,9 @@
             self._node_count,
             self._note_versions,
             self.reads,
+            self.drain,
         )
         self.stats_log = StatsLog(clock, self.gate, self.pool, budget, settings.log_stats_micros)
-        self.is_draining = False
         self.held_limits: tuple[bytes | None, ClientLimits] = (None, ClientLimits())
         self.courier.on_tell("use_note", self._take_use)
 
@@ -182,11 +187,12 @@
 
     def begin_drain(self) -> None:
         """From now on it is not ready, and orders no more loads."""
-        self.is_draining = self.roll_out.is_draining = True
+        self.roll_out.is_draining = True
+        self.drain.begin()
 
     def is_ready(self) -> bool:
         """Knows what is in force, and a worker; a draining node takes no new connections."""
-        return not self.is_draining and self.view() is not None and bool(self.rosters.roster.backends)
+        return not self.drain.is_draining() and self.view() is not None and bool(self.rosters.roster.backends)
 
     def view(self) -> View | None:
         """What is in force as last known: serves on for a bounded time without the cores (§5.5)."""
--- a/src/pearhead/router/stats_log.py
+++ b/src/pearhead/router/stats_log.py
@@ -14,7 +14,8 @@
 
 class CountsOutcomes(Protocol):
     outcomes: dict[str, int]
-    open_requests: int
+
+    def open_count(self) -> int: ...
 
 
 class CountsConnections(Protocol):
@@ -58,7 +59,7 @@
         self.told = self._counts()
         while self.every_micros > 0:
             await rest(self.clock, self.every_micros)
-            LOGGER.info("router: Counts since the line before. open=%d %s", self.gate.open_requests, self.take())
+            LOGGER.info("router: Counts since the line before. open=%d %s", self.gate.open_count(), self.take())
 
     def take(self) -> str:
         """`name=value` of what grew; what was told is not told again."""
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -5,57 +5,133 @@
 import asyncio
 import socket
 import unittest
+from collections.abc import AsyncIterator, Callable
+from typing import Any
 
+from result import Ok, Result
 from tornado.httputil import HTTPHeaders
 from tornado.netutil import bind_sockets
 
-from pearhead.router.drain import DrainSchedule, FrontDrain
+from pearhead.config.description import Description, Route, Split
+from pearhead.config.view import View
+from pearhead.router.drain import DrainPhase, DrainSchedule, DrainState, FrontDrain
 from pearhead.router.edge import ClientLimits, ClientServer, RequestEdge
-from pearhead.router.opaque import AnswerPen, OpaqueRequest
+from pearhead.router.fleet_budget import FleetBudget
+from pearhead.router.gate import Gate
+from pearhead.router.lingering import LingeringSockets
+from pearhead.router.load_book import LoadBook
 from pearhead.runtime.clock import MILLI, SECOND, rest
-from tests.test_client_limits import GET, OK_HEAD, Caller, HandClock, PlainReader
+from tests.test_client_limits import OK_HEAD, PATIENCE_SECONDS, Caller, HandClock, PlainReader, post
+from tests.test_gate import FakeCurrent, FakeDialect, FakePlacer
 
 GRACE_MICROS = 8 * SECOND
 STEP_MICROS = 20 * MILLI
 ROUNDS_EACH_STEP = 8
+# The first is more than the kernel takes at once, the second lies with it whole.
+LARGE_SIZES = {"large": 3 * 1024 * 1024, "medium": 100 * 1024}
+CLOSE_LINE = b"\r\nConnection: close\r\n"
+REFUSED_HEAD = b"HTTP/1.1 503"
+EVENT = b"id: 1\ndata: x\n\n"
 
 
 def get(path: str) -> bytes:
-    return GET.replace(b"/x", path.encode())
+    return f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
 
 
-class DrainTest(unittest.IsolatedAsyncioTestCase):
-    """`/N` works for N milliseconds at a worker."""
+class WorkerCall:
+    """A worker's answer to `/KIND/MILLIS`: after that time a head; `turn` turns it away, `stream` has its head at once,
+    `large` and `medium` have much to say."""
 
+    def __init__(self, worker: FakeWorker) -> None:
+        self.worker = worker
+        self.headers: HTTPHeaders | None = None
+        self.kind = ""
+        self.work_micros = 0
+        self.is_over = False
+
+    def send(self, method: str, target: str, headers: HTTPHeaders, body: bytes) -> None:
+        self.worker.sent.append(target)
+        _, self.kind, millis = target.split("/")
+        self.work_micros = int(millis) * MILLI
+
+    async def head(self, limit_micros: int) -> Any:
+        if self.kind != "stream":
+            await rest(self.worker.clock, self.work_micros)
+        status = 503 if self.kind == "turn" else 200
+        return status, "", HTTPHeaders()
+
+    async def chunks(self, limit: Callable[[], int]) -> AsyncIterator[bytes]:
+        yield b"x" * LARGE_SIZES.get(self.kind, 0) or EVENT
+        if self.kind == "stream":
+            await rest(self.worker.clock, self.work_micros)
+        self.is_over = True
+
+    def is_whole(self) -> bool:
+        return self.is_over
+
+    async def close(self) -> None:
+        return None
+
+
+class FakeWorker:
+    """The pool of connections to the only worker; `connect_micros`: until one is made."""
+
+    def __init__(self, clock: HandClock) -> None:
+        self.clock = clock
+        self.sent: list[str] = []
+        self.connect_micros = 0
+
+    async def call(self, address: str, terms: Any) -> Result[Any, str]:
+        if self.connect_micros:
+            await rest(self.clock, self.connect_micros)
+        return Ok(WorkerCall(self))
+
+
+def make_view() -> View:
+    limits: dict[str, Any] = {"deadline_micros": 60 * SECOND, "tries": 3, "public": True}
+    routes = [
+        Route("whole", "h", "/", [Split("s", 1)], **limits),
+        Route("stream", "h", "/stream/", [Split("s", 1)], stream=True, **limits),
+    ]
+    view = View()
+    view.__dict__["description"] = Description(routes=routes)
+    return view
+
+
+class DrainCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.clock = HandClock()
-        self.taken: list[str] = []
-        self.open_requests = 0
-        self.edge = RequestEdge(self.clock, PlainReader(), self.serve, ClientLimits)
+        self.violations: list[str] = []
+        self.state = DrainState(self.clock, DrainSchedule.of_grace(GRACE_MICROS), self.violations.append)
+        self.worker = FakeWorker(self.clock)
+        placer: Any = FakePlacer()
+        pool: Any = self.worker
+        self.gate = Gate(
+            self.clock,
+            FakeCurrent(make_view()),
+            placer,
+            LoadBook(self.clock),
+            pool,
+            FleetBudget(self.clock, 0.2, 50, 10 * SECOND),
+            FakeDialect(),
+            lambda: 1,
+            lambda worker, head: None,
+            drain=self.state,
+        )
+        self.edge = RequestEdge(self.clock, PlainReader(), self.gate.serve, ClientLimits, self.state)
         self.server = ClientServer(self.edge)
         bound_sockets = bind_sockets(0, "127.0.0.1", family=socket.AF_INET)
         self.port_number = bound_sockets[0].getsockname()[1]
         self.server.add_sockets(bound_sockets)
         self.callers: list[Caller] = []
-        schedule = DrainSchedule.of_grace(GRACE_MICROS)
-        self.drain = FrontDrain(self.clock, schedule, self.edge, self.server, lambda: self.open_requests)
+        self.drain = FrontDrain(self.state, self.server, self.gate)
 
     async def asyncTearDown(self) -> None:
         for caller in self.callers:
             caller.writer.close()
         self.server.stop()
         await self.server.close_all_connections()
-
-    async def serve(self, request: OpaqueRequest, pen: AnswerPen) -> None:
-        self.taken.append(request.path)
-        self.open_requests += 1
-        try:
-            await rest(self.clock, int(request.path[1:]) * MILLI)
-            pen.begin(200, "OK", HTTPHeaders({"Content-Length": "2"}))
-            pen.write(b"ok")
-            pen.finish()
-        finally:
-            self.open_requests -= 1
+        self.assertEqual(self.violations, [])
 
     async def connect(self) -> Caller:
         self.callers.append(Caller(*await asyncio.open_connection("127.0.0.1", self.port_number)))
@@ -74,25 +150,301 @@
             running.cancel()
         await self.server.close_all_connections()
 
+    def stop_process(self) -> asyncio.Task[None]:
+        return asyncio.create_task(self.drain_and_end())
+
+    async def kept(self) -> Caller:
+        """A caller whose connection has served a request and rests."""
+        caller = await self.connect()
+        answer = asyncio.create_task(caller.ask(get("/whole/0")))
+        await self.pass_time(100 * MILLI)
+        self.assertIn(OK_HEAD, await answer)
+        return caller
+
+    async def all_of(self, caller: Caller) -> bytes:
+        """What still comes on a connection until it ends."""
+        try:
+            return await asyncio.wait_for(caller.reader.read(), PATIENCE_SECONDS)
+        except ConnectionError:
+            return b""
+
+
+class DrainTest(DrainCase):
     async def test_a_request_on_a_kept_connection_late_in_a_drain_is_answered_or_left_unread(self) -> None:
         """As on the recorded day: a slow request keeps the process, another comes 5.5 s after SIGTERM."""
-        slow, kept = await self.connect(), await self.connect()
-        self.assertIn(OK_HEAD, await self.ask_now(kept, get("/0")))
-        slow.writer.write(get("/6500"))
+        slow, kept = await self.connect(), await self.kept()
+        slow.writer.write(get("/whole/6500"))
         await self.pass_time(100 * MILLI)
-        task = asyncio.create_task(self.drain_and_end())
+        task = self.stop_process()
         await self.pass_time(5_500 * MILLI)
-        kept.writer.write(get("/1000"))
+        kept.writer.write(get("/whole/1000"))
         await self.pass_time(2 * SECOND)
         await task
-        answer = (await kept.answer())[0]
-        self.assertTrue(answer or "/1000" not in self.taken, "it was passed on and cut")
+        answer = await self.all_of(kept)
+        self.assertTrue(answer or "/whole/1000" not in self.worker.sent, "it was passed on and cut")
+        self.assertIn(OK_HEAD, await self.all_of(slow))
+
+    async def test_in_the_handover_phase_requests_are_served_and_connections_end_with_their_answer(self) -> None:
+        kept = await self.kept()
+        task = self.stop_process()
+        await self.pass_time(2_800 * MILLI)
+        fresh = await self.connect()
+        for caller in (kept, fresh):
+            caller.writer.write(get("/whole/3000"))
+        await self.pass_time(2_900 * MILLI)
+        self.assertFalse(task.done(), "what was accepted is carried to its end")
+        await self.pass_time(200 * MILLI)
+        self.assertTrue(task.done(), "nothing is open")
+        for caller in (kept, fresh):
+            answer = await self.all_of(caller)
+            self.assertIn(OK_HEAD, answer)
+            self.assertIn(CLOSE_LINE, answer)
+
+    async def test_after_the_handover_idle_connections_and_the_listening_socket_are_closed(self) -> None:
+        slow, kept, silent = await self.connect(), await self.kept(), await self.connect()
+        slow.writer.write(get("/whole/5000"))
+        await self.pass_time(100 * MILLI)
+        task = self.stop_process()
+        await self.pass_time(2_880 * MILLI)
+        await self.connect()
+        await self.pass_time(60 * MILLI)
+        for caller in (kept, silent):
+            self.assertTrue(await caller.has_ended())
+        with self.assertRaises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", self.port_number)
+        self.assertFalse(task.done())
+        await self.pass_time(3 * SECOND)
+        await task
+
+    async def test_an_idle_process_stays_until_callers_have_left_and_then_ends_at_once(self) -> None:
+        task = self.stop_process()
+        await self.pass_time(2_880 * MILLI)
+        self.assertFalse(task.done())
+        await self.pass_time(60 * MILLI)
+        self.assertTrue(task.done())
+
+    async def test_what_had_begun_to_arrive_is_refused_and_not_sent(self) -> None:
+        half, body, expects = await self.kept(), await self.connect(), await self.connect()
+        half.writer.write(get("/whole/1")[:9])
+        body.writer.write(post(b"b", length=2))
+        head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+        expects.writer.write(head[:-2])
+        await self.pass_time(100 * MILLI)
+        sent_before = list(self.worker.sent)
+        task = self.stop_process()
+        await self.pass_time(3_200 * MILLI)
+        self.assertFalse(task.done(), "it waits for what has begun")
+        half.writer.write(get("/whole/1")[9:])
+        body.writer.write(b"b")
+        expects.writer.write(head[-2:])
+        await self.pass_time(100 * MILLI)
+        expects.writer.write(b"bb")
+        for caller in (half, body, expects):
+            answer = asyncio.create_task(self.all_of(caller))
+            await self.pass_time(100 * MILLI)
+            told = await answer
+            self.assertTrue(told.startswith(REFUSED_HEAD), told)
+            self.assertIn(CLOSE_LINE, told)
+        self.assertEqual(self.worker.sent, sent_before)
+        self.assertTrue(task.done(), "nothing is open")
+
+    async def test_what_never_arrives_whole_is_refused_at_the_last_end(self) -> None:
+        half, body = await self.connect(), await self.connect()
+        half.writer.write(get("/whole/1")[:9])
+        body.writer.write(post(b"b", length=2))
+        task = self.stop_process()
+        await self.pass_time(6_980 * MILLI)
+        self.assertFalse(task.done())
+        await self.pass_time(100 * MILLI)
+        self.assertTrue(task.done())
+        for caller in (half, body):
+            self.assertTrue((await self.all_of(caller)).startswith(REFUSED_HEAD))
+
+    async def test_a_connection_made_but_not_accepted_is_taken_before_the_listening_socket_closes(self) -> None:
+        self.state.begin()
+        self.clock.now_micros += 3 * SECOND
+        with socket.create_connection(("127.0.0.1", self.port_number)) as early:
+            early.sendall(get("/whole/1"))
+            self.server.stop_accepting()
+            early.setblocking(False)
+            received = asyncio.create_task(asyncio.get_running_loop().sock_recv(early, 4_096))
+            answer = await asyncio.wait_for(received, PATIENCE_SECONDS)
+        self.assertTrue(answer.startswith(REFUSED_HEAD), answer)
+        self.assertEqual(self.worker.sent, [])
+
+    async def test_at_the_last_end_all_get_a_final_answer_and_a_begun_one_is_cut(self) -> None:
+        sent, waiting, begun = await self.connect(), await self.connect(), await self.connect()
+        sent.writer.write(get("/whole/60000"))
+        begun.writer.write(get("/stream/60000"))
+        await self.pass_time(100 * MILLI)
+        self.worker.connect_micros = 60 * SECOND
+        waiting.writer.write(get("/whole/1"))
+        task = self.stop_process()
+        await self.pass_time(6_980 * MILLI)
+        self.assertFalse(task.done(), "the last sixth of the time has begun, and they are still served")
+        await self.pass_time(100 * MILLI)
+        self.assertTrue(task.done())
+        self.assertIn(b"HTTP/1.1 502", await self.all_of(sent))
+        self.assertIn(REFUSED_HEAD, await self.all_of(waiting))
+        stream = await self.all_of(begun)
+        self.assertIn(EVENT, stream)
+        self.assertFalse(stream.endswith(b"0\r\n\r\n"), "it must not look whole")
+        self.assertNotIn("/whole/1", self.worker.sent)
+
+    async def test_after_the_handover_nothing_is_sent_anew(self) -> None:
+        turned, late = await self.connect(), await self.connect()
+        task = self.stop_process()
+        await self.pass_time(2_700 * MILLI)
+        turned.writer.write(get("/turn/400"))
+        await self.pass_time(100 * MILLI)
+        self.worker.connect_micros = 300 * MILLI
+        late.writer.write(get("/whole/1"))
+        await self.pass_time(500 * MILLI)
+        for caller in (turned, late):
+            self.assertIn(REFUSED_HEAD, await self.all_of(caller))
+        self.assertEqual(self.worker.sent, ["/turn/400"])
+        await task
+
+    async def test_the_process_stays_until_a_slow_caller_has_its_answer(self) -> None:
+        for kind in LARGE_SIZES:
+            with self.subTest(kind):
+                await self.check_slow_caller(kind)
+                await self.asyncSetUp()
+
+    async def check_slow_caller(self, kind: str) -> None:
+        slow = socket.socket()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        slow.connect(("127.0.0.1", self.port_number))
+        slow.sendall(get(f"/{kind}/1"))
+        slow.setblocking(False)
+        task = self.stop_process()
+        await self.pass_time(5 * SECOND)
+        self.assertFalse(task.done())
+        self.assertEqual(self.gate.open_count(), 0, "the answer is written, not delivered")
+        received = bytearray()
+        while chunk := await asyncio.wait_for(asyncio.get_running_loop().sock_recv(slow, 65_536), PATIENCE_SECONDS):
+            received += chunk
+        slow.close()
+        self.assertTrue(received.endswith(b"x"))
+        self.assertEqual(received.count(b"x"), LARGE_SIZES[kind])
+        await self.pass_time(100 * MILLI)
+        self.assertTrue(task.done())
+
+    async def test_of_pipelined_requests_the_first_is_answered_and_the_others_are_not_sent(self) -> None:
+        caller = await self.connect()
+        task = self.stop_process()
+        caller.writer.write(get("/whole/100") + get("/whole/200"))
+        await self.pass_time(3 * SECOND)
+        answers = await self.all_of(caller)
+        self.assertEqual((answers.count(OK_HEAD), answers.count(CLOSE_LINE)), (1, 1))
+        self.assertEqual(self.worker.sent, ["/whole/100"])
+        await task
 
-    async def ask_now(self, caller: Caller, request: bytes) -> bytes:
-        """For what is answered without waiting."""
-        answer = asyncio.create_task(caller.ask(request))
+    async def test_an_answer_that_ends_after_the_handover_keeps_no_connection(self) -> None:
+        """Its head went out before SIGTERM and promised to keep it; another caller sent its next request already."""
+        caller, eager = await self.connect(), await self.connect()
+        caller.writer.write(get("/stream/4000"))
+        eager.writer.write(get("/stream/4000") + get("/whole/1"))
         await self.pass_time(100 * MILLI)
-        return await answer
+        task = self.stop_process()
+        await self.pass_time(4 * SECOND)
+        answer = await self.all_of(caller)
+        self.assertNotIn(CLOSE_LINE, answer)
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"), answer)
+        first, mark, second = (await self.all_of(eager)).partition(REFUSED_HEAD)
+        self.assertTrue(first.endswith(b"0\r\n\r\n"), first)
+        self.assertTrue(mark and CLOSE_LINE in second, "what was read whole is answered")
+        self.assertNotIn("/whole/1", self.worker.sent)
+        self.assertTrue(task.done())
+
+    async def test_a_second_order_to_stop_ends_all_at_once_with_an_answer(self) -> None:
+        sent, body = await self.connect(), await self.connect()
+        sent.writer.write(get("/whole/60000"))
+        body.writer.write(post(b"b", length=2))
+        first = self.stop_process()
+        await self.pass_time(500 * MILLI)
+        second = asyncio.create_task(self.drain.end())
+        await self.pass_time(100 * MILLI)
+        self.assertTrue(second.done())
+        self.assertIn(b"HTTP/1.1 502", await self.all_of(sent))
+        self.assertIn(REFUSED_HEAD, await self.all_of(body))
+        await self.pass_time(3 * SECOND)
+        await first
+
+
+class LingeringSocketsTest(unittest.TestCase):
+    def test_a_connection_is_closed_when_its_last_bytes_are_delivered(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener, socket.socket() as peer:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            peer.connect(listener.getsockname())
+            connection, _ = listener.accept()
+            connection.setblocking(False)
+            sent = 0
+            try:
+                while True:
+                    sent += connection.send(b"x" * 65_536)
+            except BlockingIOError:
+                pass
+            lingering = LingeringSockets()
+            self.assertTrue(lingering.take(connection))
+            # What the peer sends meanwhile must not reset the connection.
+            peer.sendall(get("/late/1"))
+            self.assertEqual(lingering.count(), 1)
+            received = 0
+            while chunk := peer.recv(65_536):
+                received += len(chunk)
+            self.assertEqual(received, sent)
+            self.assertEqual(lingering.count(), 0)
+            self.assertEqual(connection.fileno(), -1)
+
+    def test_what_is_delivered_already_is_not_taken_over(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            with socket.create_connection(listener.getsockname()):
+                connection, _ = listener.accept()
+                with connection:
+                    self.assertFalse(LingeringSockets().take(connection))
+
+
+class DrainStateTest(unittest.TestCase):
+    def test_the_schedule_follows_the_time_until_the_kill(self) -> None:
+        usual = DrainSchedule.of_grace(8 * SECOND)
+        self.assertEqual((usual.handover_micros, usual.end_micros), (2_900 * MILLI, 7 * SECOND))
+        short = DrainSchedule.of_grace(4 * SECOND)
+        self.assertEqual((short.handover_micros, short.end_micros), (1_500 * MILLI, 3_500 * MILLI))
+        for grace_micros in (SECOND, 4 * SECOND, 8 * SECOND, 30 * SECOND):
+            schedule = DrainSchedule.of_grace(grace_micros)
+            self.assertLess(schedule.handover_micros, 3 * SECOND)
+            self.assertGreater(schedule.end_micros, grace_micros * 5 // 6, "the last sixth has begun")
+            left_micros = grace_micros - schedule.end_micros - schedule.flush_micros
+            self.assertGreaterEqual(left_micros, min(750 * MILLI, grace_micros * 3 // 32), "for the teardown")
+
+    def test_phases_go_by_time_alone(self) -> None:
+        clock = HandClock()
+        state = DrainState(clock, DrainSchedule.of_grace(GRACE_MICROS))
+        self.assertIs(state.phase(), DrainPhase.SERVING)
+        state.begin()
+        found = []
+        for passed_micros in (0, 2_899 * MILLI, 2_900 * MILLI, 6_999 * MILLI, 7_000 * MILLI):
+            clock.now_micros = 100 * SECOND + passed_micros
+            state.begin()
+            found.append(state.phase())
+        handover, finishing = [DrainPhase.HANDOVER] * 2, [DrainPhase.FINISHING] * 2
+        self.assertEqual(found, [*handover, *finishing, DrainPhase.ENDED])
+
+    def test_the_invariant_is_told_when_it_is_broken_and_only_then(self) -> None:
+        clock = HandClock()
+        told: list[str] = []
+        state = DrainState(clock, DrainSchedule.of_grace(GRACE_MICROS), told.append)
+        state.check_send("a")
+        state.begin()
+        clock.advance(2_899 * MILLI)
+        state.check_send("b")
+        state.check_end(0)
+        self.assertEqual(told, [])
+        clock.advance(MILLI)
+        state.check_send("c")
+        state.check_end(2)
+        self.assertEqual(told, ["request c is sent to a worker while finishing", "2 requests are open at the end"])
 
 
 if __name__ == "__main__":
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -114,7 +114,7 @@
 
 class StatsLogTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.gate = SimpleNamespace(outcomes={"done": 5}, open_requests=2)
+        self.gate = SimpleNamespace(outcomes={"done": 5}, open_count=lambda: 2)
         self.pool = SimpleNamespace(opened=3, reused=40)
         self.budget = SimpleNamespace(spent=1)
         self.processor = 7_000
