Other servers end without cutting what they read: the product's front, operators' calls

The product's front node ended as soon as no job was open, so a refusal or a last line just written could still lie in the process, and kept connections stayed; control_plane ended once it had handed over, whatever an operator's call that it had read was waiting for. DrainingServer stops listening, closes idle connections, ends each with its next answer, and is waited for. Ruled out: HTTPServer.close_all_connections, which cuts what is under way.

--- a/src/pearhead/control_plane/main.py
+++ b/src/pearhead/control_plane/main.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from result import Err
-from tornado.httpserver import HTTPServer
 
 from pearhead.config.description import MAXIMUM_DESCRIPTION
 from pearhead.config.startup import Startup, end_with, read_startup, startup_help
@@ -24,6 +23,7 @@
 from pearhead.runtime.command import run_command
 from pearhead.runtime.daemon import open_logs, serve_until_stopped
 from pearhead.runtime.disk import FolderBusyError, FolderDisk
+from pearhead.runtime.draining_server import DrainingServer
 from pearhead.runtime.socketnet import SocketNet, split_address
 
 LOGGER = logging.getLogger("pearhead")
@@ -41,9 +41,10 @@
         LOGGER.error("control_plane: Must stop. reason=%r", reason)
         failed.set()
 
+    clock = BootClock()
     net = SocketNet(startup.address)
-    core = CoreProcess(startup, BootClock(), net, disk, random.SystemRandom(), fail)
-    server = HTTPServer(
+    core = CoreProcess(startup, clock, net, disk, random.SystemRandom(), fail)
+    server = DrainingServer(
         build_operator_api(core, startup),
         max_body_size=2 * MAXIMUM_DESCRIPTION,
         max_header_size=startup.headerLimitBytes,
@@ -63,8 +64,15 @@
         teller = EventTeller(http_post(startup.eventSink))
         core.tell_event = teller.tell
         core.crew.start(teller.run())
-    status = await serve_until_stopped(core.drain, failed)
-    server.stop()
+
+    async def drain() -> None:
+        begun_micros = clock.now()
+        server.begin_drain()
+        await core.drain()
+        # What an operator asked before is answered: a command may be under way at other cores.
+        await server.finish_drain(clock, startup.drainMicros - (clock.now() - begun_micros))
+
+    status = await serve_until_stopped(drain, failed)
     core.stop()
     net.close()
     return status
--- a/src/pearhead/router/main.py
+++ b/src/pearhead/router/main.py
@@ -8,23 +8,26 @@
 from typing import Any
 
 from result import Err
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
 from pearhead.config.startup import Startup, end_with, read_startup, startup_help
 from pearhead.router.front import build_front
 from pearhead.router.node import NodeProcess
 from pearhead.router.tornadocarrier import TornadoCarrier, TornadoWorkerLink
-from pearhead.runtime.clock import BootClock
+from pearhead.runtime.clock import SECOND, BootClock
 from pearhead.runtime.command import run_command
 from pearhead.runtime.daemon import open_logs, serve_until_stopped
+from pearhead.runtime.draining_server import DrainingServer
 from pearhead.runtime.socketnet import SocketNet, split_address
 
+LAST_ANSWERS_MICROS = SECOND
+
 
 async def _serve(startup: Startup) -> int:
+    clock = BootClock()
     net = SocketNet(startup.address)
-    node = NodeProcess(startup, BootClock(), net, TornadoCarrier(), TornadoWorkerLink(), random.SystemRandom())
-    server = HTTPServer(
+    node = NodeProcess(startup, clock, net, TornadoCarrier(), TornadoWorkerLink(), random.SystemRandom())
+    server = DrainingServer(
         build_front(node, startup),
         max_body_size=startup.bodyLimitBytes,
         max_header_size=startup.headerLimitBytes,
@@ -48,8 +51,10 @@
     node.crew.start(open_door())
 
     async def drain() -> None:
-        server.stop()
+        server.begin_drain()
         await node.drain()
+        # The last jobs have ended; their last lines, and refusals, may not be written yet.
+        await server.finish_drain(clock, LAST_ANSWERS_MICROS)
 
     status = await serve_until_stopped(drain, asyncio.Event())
     node.stop()
