--- a/src/pearhead/router/metrics.py
+++ b/src/pearhead/router/metrics.py
@@ -72,8 +72,8 @@
         """Reads the gate, the edge, the pool and the relay."""
         gateway, gate, relay = self.gateway, self.gateway.gate, self.gateway.relay
         worker_connections = sum(len(streams) for streams in gateway.pool.open.values())
-        yield gauge("draining", "1 once SIGTERM came.", gateway.is_draining)
-        yield gauge("open_requests", "Requests under way.", gate.open_requests)
+        yield gauge("draining", "1 once SIGTERM came.", gateway.drain.is_draining())
+        yield gauge("open_requests", "Requests under way.", gate.open_count())
         yield counter("requests_taken", "Requests read whole.", gate.taken_count)
         yield counter("requests_taken_draining", "Requests read whole since the drain began.", gateway.taken_draining())
         yield labelled_counter("requests_ended", "Requests by outcome.", "outcome", gate.outcomes)
