Streams: a typed invariant of order; a run that would break it is cut, and counted

Cause: the splitter was told of a new run only after something had been given out, so a part of the first event was joined to the next run, and a first run was never checked against the caller's own Last-Event-Id. Whether a begun answer may go on was asked of the repeatability of the request alone.

Mend: each run begins with an empty splitter at a known position (`begin_run`). `StreamSequence` decides on each event: ids only rise; a run is joined only directly after the last event; a run with other events, without ids, that begins late, or that ends before the position or after a part of an event is a `StreamViolation`. Its run is dropped as a cut one is, after the events before it were passed on; outcomes count it and `Gate(on_violation=...)` is told its name. A begun answer goes on only where its route is still a stream that may be resumed, on weights that are not older.

Ruled out by tests that passed before as well: parts of later events, heads and stamps of joined answers, tries, refusals and failures of second workers, late answers of other requests, all broken framings (none looked whole), bytes behind a stream.

Test changed: test_event_stream calls `begin_run` in place of `go_on_elsewhere`, its former name; no check changed.

--- a/src/pearhead/router/event_stream.py
+++ b/src/pearhead/router/event_stream.py
@@ -4,42 +4,63 @@
 
 import re
 
-EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+from result import Err
+
+from pearhead.router.stream_sequence import EventAction, EventFields, StreamSequence, StreamViolation
+
+EVENT_ID = re.compile(rb"^id(?:: ?([^\r\n]*))?\r?$", re.MULTILINE)
+EVENT_DATA = re.compile(rb"^[^:\r\n]", re.MULTILINE)
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
 class EventSplitter:
-    """Feeds bytes in, takes whole events out. `last_id` is that of the last event given out."""
+    """Feeds bytes in, takes whole events out.
+
+    `last_id` is that of the last event given out. After a `violation` nothing of the run is given out any more.
+    """
 
     def __init__(self, last_id: str = "") -> None:
-        self.last_id = last_id
+        self.sequence = StreamSequence(last_id)
         self.pending = b""
-        self.skips = False
+        self.violation: StreamViolation | None = None
+
+    @property
+    def last_id(self) -> str:
+        return self.sequence.last_id
 
-    def go_on_elsewhere(self) -> None:
-        """What was not whole goes; events that were given out already are passed over."""
+    def begin_run(self, version: int | None = None) -> None:
+        """Another run's bytes follow: a partial event of the one before is dropped, as no event joins two runs."""
+        if EVENT_DATA.search(self.pending):
+            self.sequence.note_partial_event()
         self.pending = b""
-        self.skips = bool(self.last_id)
+        self.violation = None
+        self.sequence.begin_run(version)
 
     def feed(self, chunk: bytes) -> bytes:
+        """The whole events that the caller is to get next."""
         self.pending += chunk
         whole: list[bytes] = []
-        while True:
+        while self.violation is None:
             end = EVENT_END.search(self.pending)
             if end is None:
-                return b"".join(whole)
+                break
             event, self.pending = self.pending[: end.end()], self.pending[end.end() :]
-            named = EVENT_ID.search(event)
-            if named is not None:
-                event_id = named.group(1).decode("latin1").strip()
-                if self.skips and _is_no_later(event_id, self.last_id):
-                    continue
-                self.skips = False
-                self.last_id = event_id
-            whole.append(event)
-
-
-def _is_no_later(event_id: str, last_id: str) -> bool:
-    if event_id.isdigit() and last_id.isdigit():
-        return int(event_id) <= int(last_id)
-    return event_id == last_id
+            action = self.sequence.take(read_fields(event))
+            if isinstance(action, Err):
+                self.violation = action.err_value
+            elif action.ok_value is EventAction.FORWARD:
+                whole.append(event)
+        return b"".join(whole)
+
+    def end_run(self) -> bool:
+        """The run's framing was complete; whether the answer is, which it is not inside an event."""
+        if self.violation is None:
+            self.violation = self.sequence.end_run()
+        return self.violation is None and not self.pending
+
+
+def read_fields(event: bytes) -> EventFields:
+    """The last id counts, as the format says."""
+    ids = EVENT_ID.findall(event)
+    event_id = ids[-1].decode("latin1").strip() if ids else ""
+    return EventFields(event_id, EVENT_DATA.search(event) is not None)
--- a/src/pearhead/router/gate.py
+++ b/src/pearhead/router/gate.py
@@ -20,6 +20,7 @@
 from pearhead.router.opaque import AnswerHead, AnswerPen, Dialect, Directions, OpaqueRequest, Verdict
 from pearhead.router.placer import Choice, Placer
 from pearhead.router.read_book import LongRead, ReadBook
+from pearhead.router.stream_sequence import StreamViolation
 from pearhead.router.upstream import ANY_REST_MICROS, NO_ROOM, CallTerms, UpstreamCall, UpstreamPool
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 
@@ -104,6 +105,7 @@
         node_count: Callable[[], int],
         note_versions: Callable[[str, AnswerHead], None],
         reads: ReadBook | None = None,
+        on_violation: Callable[[str], None] = lambda name: None,
     ) -> None:
         self.clock = clock
         self.current = current
@@ -115,6 +117,7 @@
         self.node_count = node_count
         self.note_versions = note_versions
         self.reads = reads or ReadBook(clock, placer.expect, lambda note: None)
+        self.on_violation = on_violation
         self.open_requests = 0
         self.outcomes: dict[str, int] = {}
 
@@ -203,6 +206,8 @@
             return False
         if passage.may_have_run and not _may_repeat(route):
             return False
+        if passage.has_begun and not _may_continue(passage, route):
+            return False
         return self.budget.take_out(route.splits[0].service, self.node_count())
 
     # ---- one worker --------------------------------------------------------------------------------
@@ -211,6 +216,9 @@
         """Sends it to one worker. What it returns is told if nobody else takes it."""
         request, worker = passage.request, choice.backend.name
         passage.placements += 1
+        if not passage.splitter.sequence.accepts_version(choice.version):
+            passage.tried.add(worker)
+            return Refusal(ErrorKind.NO_WORKER, "a worker has older weights than the answer so far", SOON_MICROS)
         left_micros = passage.deadline_micros - self.clock.now()
         called = await self.pool.call(choice.backend.address, self._call_terms(way, choice, left_micros))
         if isinstance(called, Err):
@@ -313,27 +321,28 @@
     ) -> Refusal:
         """Event by event as they come; each only when it is whole."""
         worker, pen = choice.backend.name, passage.pen
-        if passage.has_begun:
-            passage.splitter.go_on_elsewhere()
+        passage.splitter.begin_run(choice.version)
         async for chunk in call.chunks(lambda: passage.deadline_micros - self.clock.now()):
             if pen.is_gone():
                 passage.is_done = True
                 self._count("caller_gone")
                 return Refusal(ErrorKind.OUTCOME_UNKNOWN)
             events = passage.splitter.feed(chunk)
-            if not events:
-                continue
-            if waiting.is_waiting:
+            if events and waiting.is_waiting:
                 waiting.first_event()
                 self.placer.expect(worker, choice.salt, [part.part for part in passage.request.parts[:-1]])
                 self.loads.learn_pace(
                     worker, choice.missing_tokens, choice.expected_micros, self.clock.now() - sent_micros
                 )
-            if not passage.has_begun:
+            if events and not passage.has_begun:
                 passage.has_begun = True
                 pen.begin(head.status, head.reason, _passed_on(head.headers))
-            pen.write(events)
-        if not call.is_whole() or passage.splitter.pending:
+            if events:
+                pen.write(events)
+            if passage.splitter.violation is not None:
+                break
+        if not call.is_whole() or not passage.splitter.end_run():
+            self._note_violation(passage.splitter.violation)
             self.loads.take_fault(worker)
             return Refusal(ErrorKind.OUTCOME_UNKNOWN, "the stream was cut")
         if not passage.has_begun:
@@ -418,6 +427,11 @@
             passage.pen.write(body)
         passage.pen.finish()
 
+    def _note_violation(self, violation: StreamViolation | None) -> None:
+        if violation is not None:
+            self._count(violation.value)
+            self.on_violation(violation.value)
+
     def _count(self, outcome: str) -> None:
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
 
@@ -465,6 +479,11 @@
     return route.repeatable or (route.stream and route.resumable)
 
 
+def _may_continue(passage: Passage, route: Route) -> bool:
+    """Whether another run may be joined to what the caller has already been given."""
+    return route.stream and route.resumable and passage.splitter.sequence.is_resumable()
+
+
 def _urgency(route: Route, tenant: Tenant | None) -> int:
     """The tenant's rank goes before the route's, within 0 to 9."""
     return min(9, 2 * min(tenant.urgency if tenant is not None else 2, 4) + min(route.urgency, 1))
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -23,7 +23,7 @@
             for first in range(1, 4):
                 splitter = EventSplitter()
                 given = splitter.feed(whole[:cut])
-                splitter.go_on_elsewhere()
+                splitter.begin_run()
                 begun = min(first, int(splitter.last_id or 0) + 1)
                 given += splitter.feed(b"".join(EVENTS[begun - 1 :]))
                 self.assertEqual(given, whole)
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -89,6 +89,7 @@
     address: str = ""
     asked: list[str | None] = field(default_factory=list)
     on_request: Callable[[], None] = lambda: None
+    echoed_id: str = ""
     server: asyncio.Server | None = None
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     connections: int = 0
@@ -115,7 +116,7 @@
         self.asked.append(headers.get("last-event-id"))
         run = self.script.pop(0)
         body = run.body_after(headers.get("last-event-id", ""))
-        writer.write(run.head(headers["x-request-id"]) + body)
+        writer.write(run.head(self.echoed_id or headers["x-request-id"]) + body)
         await writer.drain()
         self.on_request()
         if run.is_reset:
@@ -157,6 +158,7 @@
         self.current = ChangingView(route)
         self.placer: Any = InTurn(self.workers, 4)  # type: ignore[arg-type]
         self.bench = Bench()
+        self.violations: list[str] = []
 
     async def __aenter__(self) -> StreamSite:
         for worker in self.workers:
@@ -174,6 +176,7 @@
             dialect,
             lambda: 1,
             lambda worker, head: None,
+            on_violation=self.violations.append,
         )
         self.edge = RequestEdge(bench, dialect, self.gate.serve, ClientLimits)
         self.server = ClientServer(self.edge)
@@ -261,3 +264,220 @@
                 received = await site.ask()
                 asked = site.workers[1].asked
             self.assertEqual((received.end, received.body, asked), ("cut", events(1, 2), []), later)
+
+
+class ViolationTest(unittest.IsolatedAsyncioTestCase):
+    """A run that breaks the sequence ends there; its events before that stay given, and another run follows them."""
+
+    async def answer(self, *scripts: list[Run], route: Route = RESUMABLE) -> tuple[str, bytes, list[str]]:
+        async with StreamSite(*scripts, route=route) as site:
+            received = await site.ask()
+            return received.end, received.body, site.violations
+
+    async def test_an_event_that_comes_twice_ends_its_run(self) -> None:
+        twice = Run(whole(events(1, 2) + events(2, PIECES)))
+        found = await self.answer([twice], route=ROUTE)
+        self.assertEqual(found, ("cut", events(1, 2), ["stream_id_not_rising"]))
+        found = await self.answer([twice], [continuing("b")])
+        self.assertEqual(found, ("whole", events(1, 2) + events(3, PIECES, "b"), ["stream_id_not_rising"]))
+
+    async def test_a_run_that_begins_later_than_it_was_asked_to_is_not_joined(self) -> None:
+        broken = Run(chunk(events(1, 3)), is_reset=True)
+        for first in range(5, 8):
+            found = await self.answer([broken], [Run(whole(events(first, 9, "b")))])
+            self.assertEqual(found, ("cut", events(1, 3), ["stream_gap"]), first)
+
+    async def test_a_run_that_begins_earlier_is_joined_after_what_was_given(self) -> None:
+        broken = Run(chunk(events(1, 3)), is_reset=True)
+        for first in range(1, 5):
+            found = await self.answer([broken], [Run(whole(events(first, PIECES, "b")))])
+            self.assertEqual(found, ("whole", events(1, 3) + events(4, PIECES, "b"), []), first)
+
+    async def test_a_run_with_other_events_is_not_joined(self) -> None:
+        """Its events lie across the position: each piece of it is a part of what was given, or more than the next."""
+        broken = Run(chunk(event(3) + event(5)), is_reset=True)
+        other = Run(whole(event(2, "b") + event(4, "b") + event(6, "b")))
+        found = await self.answer([broken], [other])
+        self.assertEqual(found, ("cut", event(3) + event(5), ["stream_position_missed"]))
+
+    async def test_a_run_that_ends_before_the_position_does_not_end_the_answer(self) -> None:
+        broken = Run(chunk(events(1, 3)), is_reset=True)
+        found = await self.answer([broken], [Run(whole(events(1, 2, "b")))])
+        self.assertEqual(found, ("cut", events(1, 3), ["stream_position_missed"]))
+
+    async def test_after_a_part_of_an_event_at_least_one_more_must_come(self) -> None:
+        broken = Run(chunk(events(1, 3) + b"id: 4\nda"), is_reset=True)
+        found = await self.answer([broken], [Run(whole(b""))])
+        self.assertEqual(found, ("cut", events(1, 3), ["stream_ended_early"]))
+
+    async def test_all_events_without_the_end_is_completed_by_a_run_that_has_none_left(self) -> None:
+        broken = Run(chunk(events(1, PIECES)), is_reset=True)
+        found = await self.answer([broken], [continuing("b")])
+        self.assertEqual(found, ("whole", events(1, PIECES), []))
+
+    async def test_events_without_a_position_are_passed_on_and_never_joined(self) -> None:
+        for unnamed in (b"data: x\n\n", b"id: a\ndata: x\n\n", b"id: \xb2\ndata: x\n\n", b"id:\ndata: x\n\n"):
+            found = await self.answer([Run(whole(unnamed * 2))], route=ROUTE)
+            self.assertEqual(found, ("whole", unnamed * 2, []))
+            found = await self.answer([Run(chunk(unnamed), is_reset=True)], [Run(whole(unnamed))])
+            self.assertEqual(found, ("cut", unnamed, []))
+            found = await self.answer([Run(chunk(event(1)), is_reset=True)], [Run(whole(unnamed))])
+            self.assertEqual(found, ("cut", event(1), ["stream_position_unknown"]))
+
+    async def test_comments_have_no_place_in_the_order(self) -> None:
+        comment = b": still here\n\n"
+        broken = Run(chunk(comment), is_reset=True)
+        found = await self.answer([broken], [Run(whole(comment + events(1, PIECES, "b")))])
+        self.assertEqual(found, ("whole", comment * 2 + events(1, PIECES, "b"), []))
+        broken = Run(chunk(event(1) + comment), is_reset=True)
+        found = await self.answer([broken], [Run(whole(comment + events(2, PIECES, "b")))])
+        self.assertEqual(found, ("whole", event(1) + comment + events(2, PIECES, "b"), []))
+
+    async def test_a_violation_before_anything_was_given_is_no_promise(self) -> None:
+        async with StreamSite([Run(whole(event(1)))], route=ROUTE) as site:
+            received = await site.ask(last_event_id="3")
+        self.assertEqual((received.status, site.violations), (502, ["stream_position_missed"]))
+
+
+class FramingTest(unittest.IsolatedAsyncioTestCase):
+    """Nothing looks whole unless the framing of a worker's run was complete."""
+
+    BROKEN = (
+        Run(chunk(events(1, PIECES)), is_ended=True),
+        Run(chunk(events(1, PIECES)), is_reset=True),
+        Run(chunk(events(1, PIECES)) + b"0\r\n", is_ended=True),
+        Run(chunk(events(1, PIECES)) + b"0\r\nX", is_ended=True),
+        Run(chunk(events(1, PIECES)) + b"zz\r\n", is_ended=True),
+        Run(chunk(events(1, PIECES))[:-2] + b"XX", is_ended=True),
+        Run(events(1, PIECES), framing="", is_ended=True),
+        Run(events(1, PIECES), framing="", is_reset=True),
+        Run(events(1, PIECES), framing="Connection: close\r\n", is_ended=True),
+        Run(events(1, PIECES), framing="Content-Length: 1000\r\n", is_ended=True),
+        Run(events(1, PIECES), framing="Content-Length: 1000\r\n", is_reset=True),
+        Run(events(1, PIECES), framing="Content-Length: -1\r\n", is_ended=True),
+        Run(events(1, PIECES), framing=f"Content-Length: 5\r\n{CHUNKED}", is_ended=True),
+        Run(events(1, PIECES), framing="Transfer-Encoding: gzip\r\n", is_ended=True),
+        Run(whole(events(1, PIECES) + b"id: 6\ndata: b")),
+        Run(whole(events(1, PIECES) + b"id: 6\ndata: b\n")),
+        Run(events(1, PIECES), framing="Content-Length: 40\r\n", is_ended=True),
+    )
+
+    async def test_what_is_not_whole_does_not_look_so(self) -> None:
+        for run in self.BROKEN:
+            async with StreamSite([run], route=ROUTE) as site:
+                received = await site.ask()
+            self.assertTrue(received.end == "cut" or received.status == 502, run)
+            if received.status == 200:
+                self.assertTrue(events(1, PIECES).startswith(received.body), run)
+
+    async def test_what_is_not_whole_is_completed_by_another_run_where_that_may_be(self) -> None:
+        for run in self.BROKEN:
+            async with StreamSite([run], [continuing("b", PIECES + 1)]) as site:
+                received = await site.ask()
+            numbers = [line for line in received.body.splitlines() if line.startswith(b"id: ")]
+            self.assertEqual(numbers, [b"id: %d" % number for number in range(1, PIECES + 2)], run)
+            self.assertEqual(received.end, "whole")
+
+    async def test_each_complete_framing_is_whole(self) -> None:
+        body = events(1, PIECES)
+        for run in (
+            Run(whole(body)),
+            Run(whole(body), is_ended=True),
+            Run(whole(body), headers="Connection: close\r\n", is_ended=True),
+            Run(body, framing=f"Content-Length: {len(body)}\r\n"),
+            Run(b"".join(chunk(body[at : at + 1]) for at in range(len(body))) + LAST_CHUNK),
+        ):
+            async with StreamSite([run], route=ROUTE) as site:
+                received = await site.ask()
+            self.assertEqual((received.end, received.body), ("whole", body), run)
+            self.assertNotIn("content-length", received.headers)
+
+    async def test_what_follows_a_stream_reaches_no_other_request(self) -> None:
+        stray = Run(whole(event(1, "x"))).head("two") + whole(event(1, "x"))
+        for body in (whole(events(1, 2)) + stray, whole(events(1, 2)) + event(3)):
+            async with StreamSite([Run(body), Run(whole(events(1, 3)))], route=ROUTE) as site:
+                first = await site.ask("one")
+                second = await site.ask("two")
+                connections = site.workers[0].connections
+            self.assertEqual((first.end, first.body), ("whole", events(1, 2)))
+            self.assertEqual((second.end, second.body, connections), ("whole", events(1, 3), 2))
+
+    async def test_a_connection_is_kept_after_a_whole_stream_and_not_after_a_cut_one(self) -> None:
+        answer = Run(whole(events(1, 3)))
+        async with StreamSite([answer, answer], route=ROUTE) as site:
+            self.assertEqual([(await site.ask(name)).end for name in ("one", "two")], ["whole"] * 2)
+            self.assertEqual(site.workers[0].connections, 1)
+        twice = Run(whole(event(1) + event(1)) + chunk(event(2)))
+        async with StreamSite([twice, answer], route=ROUTE) as site:
+            self.assertEqual([(await site.ask(name)).end for name in ("one", "two")], ["cut", "whole"])
+            self.assertEqual(site.workers[0].connections, 2)
+
+
+class JoinedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_joined_answer_keeps_the_head_and_stamp_of_its_first_worker(self) -> None:
+        broken = Run(chunk(events(1, 2)), headers="X-Weight-Versions: 3\r\n", is_reset=True)
+        second = replace(continuing("b"), headers="X-Weight-Versions: 4\r\nX-Other: 1\r\n")
+        async with StreamSite([broken], [second]) as site:
+            received = await site.ask()
+        self.assertEqual((received.end, received.headers["x-weight-versions"]), ("whole", "3"))
+        self.assertEqual((received.headers["x-answer-seal"], "x-other" in received.headers), ("seal", False))
+
+    async def test_an_answer_goes_on_by_the_last_event_of_a_resuming_caller(self) -> None:
+        broken = Run(lambda last: chunk(events(last + 1, 4)), is_reset=True)
+        async with StreamSite([broken], [continuing("b", 6)]) as site:
+            received = await site.ask(last_event_id="2")
+            asked = [worker.asked for worker in site.workers]
+        self.assertEqual((received.end, received.body), ("whole", events(3, 4) + events(5, 6, "b")))
+        self.assertEqual(asked, [["2"], ["4"]])
+
+    async def test_a_run_without_an_event_hands_the_callers_own_position_on(self) -> None:
+        async with StreamSite([Run(b"", is_reset=True)], [continuing("b")]) as site:
+            received = await site.ask(last_event_id="2")
+            asked = [worker.asked for worker in site.workers]
+        self.assertEqual((received.end, received.body), ("whole", events(3, PIECES, "b")))
+        self.assertEqual(asked, [["2"], ["2"]])
+
+    async def test_the_position_of_a_caller_goes_on_where_nothing_may_be_resumed(self) -> None:
+        """The caller knew the route otherwise; its request runs once and continues as it asked."""
+        async with StreamSite([continuing("a")], [continuing("b")], route=ROUTE) as site:
+            received = await site.ask(last_event_id="2")
+            asked = [worker.asked for worker in site.workers]
+        self.assertEqual((received.end, received.body, asked), ("whole", events(3, PIECES), [["2"], []]))
+
+    async def test_an_answer_is_joined_as_often_as_its_route_has_tries(self) -> None:
+        broken = Run(lambda last: chunk(event(last + 1)), is_reset=True)
+        for tries, end, last in ((1, "cut", 1), (2, "cut", 2), (3, "whole", PIECES)):
+            route = replace(RESUMABLE, tries=tries)
+            async with StreamSite([broken], [broken], [continuing("a")], route=route) as site:
+                received = await site.ask()
+            self.assertEqual((received.end, received.body), (end, events(1, last)), tries)
+
+    async def test_a_worker_that_turns_the_second_run_away_leaves_it_to_the_next(self) -> None:
+        broken = Run(chunk(events(1, 2)), is_reset=True)
+        full = Run(b"", framing="Content-Length: 0\r\n", status=503, headers="X-Not-Run: 1\r\n")
+        failing = Run(b"oops", framing="Content-Length: 4\r\n", status=500)
+        for refusing in (full, failing):
+            route = replace(RESUMABLE, tries=3)
+            async with StreamSite([broken], [refusing], [continuing("b")], route=route) as site:
+                received = await site.ask()
+            self.assertEqual((received.end, received.body), ("whole", events(1, 2) + events(3, PIECES, "b")))
+
+    async def test_a_late_answer_to_another_request_is_not_joined(self) -> None:
+        broken = Run(chunk(events(1, 2)), is_reset=True)
+        late = replace(Run(whole(events(3, 9, "x"))), is_ended=True)
+        async with StreamSite([broken], [late], route=RESUMABLE) as site:
+            site.workers[1].echoed_id = "another"
+            received = await site.ask()
+        self.assertEqual((received.end, received.body), ("cut", events(1, 2)))
+
+    async def test_both_kinds_of_line_ends_and_ids_on_any_line(self) -> None:
+        odd = [
+            b"x-weight-versions: 4\nid: 1\ndata: a\n\n",
+            b"x-weight-versions: 5\r\nid:2\r\ndata: id: 9\r\ndata:id: 9\r\n\r\n",
+            b"data: a\nid: 3\n\n",
+            b"id: 1\nid: 4\ndata: a\n\n",
+        ]
+        async with StreamSite([Run(chunk(b"".join(odd)), is_reset=True)], [continuing("b")]) as site:
+            received = await site.ask()
+            asked = site.workers[1].asked
+        self.assertEqual((received.end, received.body, asked), ("whole", b"".join(odd) + event(5, "b"), ["4"]))
