A cut answer to an HTTP/1.0 caller ends by a reset, as a plain close says whole

Cause: such a caller gets no chunks, and a stream has no length, so the end of the connection is the framing, and `abort` ended it plainly. Mend: an answer that is framed by its connection is reset when it is aborted. Ruled out: HTTP/1.1 callers (chunks, so a missing last chunk tells them).

--- a/src/pearhead/router/edge.py
+++ b/src/pearhead/router/edge.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -45,6 +46,8 @@
 NO_BODY_LIMIT = 2**62
 LENGTH_DIGITS = 18
 LEAST_LOOK_MICROS = 20 * MILLI
+# SO_LINGER switched on with no time to linger: closing sends a reset and drops what was not sent.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Limits that became shorter are followed this late at most.
 MOST_LOOK_MICROS = SECOND
 
@@ -84,6 +87,7 @@
         self.closes = closes
         self.gone = False
         self.is_over = False
+        self.ends_with_connection = False
         self.on_gone: Callable[[], object] = lambda: None
         connection.set_close_callback(self._close)
 
@@ -93,6 +97,7 @@
             self.connection._disconnect_on_finish = True
         start = ResponseStartLine("HTTP/1.1", status, reason or _reason_of(status))
         self._ignore(self.connection.write_headers(start, headers))
+        self.ends_with_connection = not (self.connection._chunking_output or "Content-Length" in headers)
         if not self.gone:
             self.connection.stream.set_nodelay(True)
 
@@ -106,7 +111,10 @@
             self.connection.finish()
 
     def abort(self) -> None:
+        """Without chunks or a length, a plain close would say that the answer is complete: it is reset instead."""
         self.is_over = True
+        if self.ends_with_connection and not self.is_gone():
+            self.connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.connection.close()
 
     def is_gone(self) -> bool:
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -481,3 +481,20 @@
             received = await site.ask()
             asked = site.workers[1].asked
         self.assertEqual((received.end, received.body, asked), ("whole", b"".join(odd) + event(5, "b"), ["4"]))
+
+
+class HttpOneZeroTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_cut_answer_without_framing_ends_by_a_reset(self) -> None:
+        """To a caller without chunks, an ordinary end of the connection says that the answer is whole."""
+        for run, is_whole in ((Run(whole(events(1, 2))), True), (Run(chunk(events(1, 2)), is_reset=True), False)):
+            async with StreamSite([run], route=ROUTE) as site:
+                host, port = site.address.split(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"GET /a/x HTTP/1.0\r\nHost: h\r\nX-Request-Id: one\r\n\r\n")
+                async with asyncio.timeout(PATIENCE_SECONDS):
+                    if is_whole:
+                        self.assertTrue((await reader.read()).endswith(events(1, 2)))
+                    else:
+                        with self.assertRaises(ConnectionResetError):
+                            await reader.read()
+                writer.close()
