The emulator's workers also break off inside an event

`split` cuts in the first event of a run as often as in a later one; the strike `cuts` has a tenth of it. Ruled out: another draw of the faults there are (the new one is drawn last).

Figures: test_site_sockets.test_what_callers_make_of_a_worker_in_trouble passes with `split` added to its list. Not run: site plays with the strike.

--- a/src/pearhead/testbed/emulator/enginefaults.py
+++ b/src/pearhead/testbed/emulator/enginefaults.py
@@ -9,8 +9,9 @@
 
 @dataclass
 class EngineFaults:
-    """`cut`, `garble`, `extra`, `late`, `lost`, `fails`: shares of answers that end in their middle, are no answer,
-    are followed at once by another, are followed later by one, are reset instead, or are the worker's own 500.
+    """`cut`, `garble`, `extra`, `late`, `lost`, `fails`, `split`: shares of answers that end in their middle, are no
+    answer, are followed at once by another, are followed later by one, are reset instead, are the worker's own 500, or
+    end inside an event.
     `slowness`: steps take so many times as long while health says nothing (a grey failure). `false_health`: health
     is good whatever else is not. `forgets_idle`: idle connections are closed without a word.
     """
@@ -21,6 +22,7 @@
     late: float = 0.0
     lost: float = 0.0
     fails: float = 0.0
+    split: float = 0.0
     slowness: float = 1.0
     link_slowness: float = 1.0
     events_lost: float = 0.0
@@ -37,7 +39,7 @@
     def draw(self, chance: random.Random) -> str:
         """The fault of one answer, or none."""
         pick = chance.random()
-        for name in ("cut", "garble", "extra", "late", "lost", "fails"):
+        for name in ("cut", "garble", "extra", "late", "lost", "fails", "split"):
             pick -= getattr(self, name)
             if pick < 0:
                 return name
--- a/src/pearhead/testbed/emulator/enginefront.py
+++ b/src/pearhead/testbed/emulator/enginefront.py
@@ -37,6 +37,7 @@
 FORGET_MICROS = 200 * MILLI
 CLOSE_SHARE = 0.02
 LATE_MICROS = 20 * MILLI
+FIRST_SPLIT_SHARE = 0.5
 DEFAULT_DEADLINE_MICROS = 30 * SECOND
 
 
@@ -230,12 +231,28 @@
                         return
                     pieces_out += 1
                     piece = Piece(output.number, run, piece_text(digest, output.number), output.version)
+                    if fault == "split" and self._is_split(output.number, wanted):
+                        await self._split(piece)
+                        return
                     self.write(piece.encode())
                     await self.flush()
                 case Ended():
                     await self._end(wanted, fault)
                     return
 
+    def _is_split(self, number: int, wanted: EngineRequest) -> bool:
+        """The first event of a run as often as any of the later ones."""
+        is_first = number == wanted.resumed_from + 1
+        return not is_first or self.site.chance.random() < FIRST_SPLIT_SHARE
+
+    async def _split(self, piece: Piece) -> None:
+        """Breaks off inside an event, after some of its bytes have gone out."""
+        event_bytes = piece.encode()
+        self.write(event_bytes[: self.site.chance.randrange(1, len(event_bytes))])
+        await self.flush()
+        await rest(self.site.clock, LATE_MICROS)
+        self.break_off(is_reset=True)
+
     def _begin(self, wanted: EngineRequest, begun: Begun, digest: str) -> None:
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("X-Request-Id", wanted.request_id)
--- a/src/pearhead/testbed/emulator/strikes.py
+++ b/src/pearhead/testbed/emulator/strikes.py
@@ -17,6 +17,7 @@
     "cut": 0.0,
     "lost": 0.0,
     "fails": 0.0,
+    "split": 0.0,
     "garble": 0.0,
     "extra": 0.0,
     "late": 0.0,
@@ -26,7 +27,7 @@
     "link_slowness": 1.0,
 }
 TROUBLES: dict[str, dict[str, Any]] = {
-    "cuts": {"cut": 0.1, "lost": 0.1, "fails": 0.1},
+    "cuts": {"cut": 0.1, "lost": 0.1, "fails": 0.1, "split": 0.1},
     "garble": {"garble": 0.1, "extra": 0.2, "late": 0.2},
     "grey": {"slowness": 15.0, "false_health": True},
     "events": {"events_lost": 0.5, "link_slowness": 10.0},
--- a/tests/test_site_sockets.py
+++ b/tests/test_site_sockets.py
@@ -122,7 +122,7 @@
         self.play(story())
 
     def test_what_callers_make_of_a_worker_in_trouble(self) -> None:
-        for fault, rule in (("cut", ""), ("lost", ""), ("garble", "MIXED"), ("extra", "MIXED")):
+        for fault, rule in (("cut", ""), ("lost", ""), ("split", ""), ("garble", "MIXED"), ("extra", "MIXED")):
             outcome, world = self.outcome_of(**{fault: 1.0})
             with self.subTest(fault):
                 found = {f.partition(":")[0] for f in world.report.faults}
