--- a/src/pearhead/router/stream_sequence.py
+++ b/src/pearhead/router/stream_sequence.py
@@ -12,6 +12,8 @@
 
 from result import Err, Ok, Result
 
+# An id with more digits is no number that a worker counts events by.
+ID_DIGITS = 18
 # So many equal steps between ids show that each following event is one such step further.
 STEPS_TO_LEARN = 2
 
@@ -157,4 +159,4 @@
 
 
 def _is_number(text: str) -> bool:
-    return text.isascii() and text.isdigit()
+    return text.isascii() and text.isdigit() and len(text) <= ID_DIGITS
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -10,22 +10,23 @@
 import socket
 import sys
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
+from result import Result
 from tornado.netutil import bind_sockets
 
-from pearhead.config.description import Description, Limits, Route, Split
+from pearhead.config.description import Description, Limits, Route, Split, Tenant
 from pearhead.config.view import View
 from pearhead.router.edge import ClientLimits, ClientServer, RequestEdge
 from pearhead.router.fleet_budget import FleetBudget
-from pearhead.router.gate import Gate
+from pearhead.router.gate import Gate, hash_key
 from pearhead.router.load_book import LoadBook
 from pearhead.router.upstream import UpstreamPool
 from pearhead.runtime.bench import Bench
-from pearhead.runtime.clock import SECOND
+from pearhead.runtime.clock import MILLI, SECOND, BootClock, Clock
 from pearhead.testbed.emulator.wire import RawConnection, WireError
 from tests.test_right_answer_once import InTurn, reset
 
@@ -83,7 +84,10 @@
 
 @dataclass
 class ScriptedWorker:
-    """Answers each request by the next run of its script. `asked`: the header `Last-Event-Id` of each."""
+    """Answers each request by the next run of its script, and is silent when that is over.
+
+    `asked`: the header `Last-Event-Id` of each request.
+    """
 
     script: list[Run]
     address: str = ""
@@ -102,7 +106,7 @@
         self.writers.append(writer)
         self.connections += 1
         try:
-            while self.script and await self.answer(reader, writer):
+            while await self.answer(reader, writer):
                 pass
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
@@ -114,6 +118,9 @@
         headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in head.split("\r\n")[1:-2])}
         await reader.readexactly(int(headers.get("content-length", "0")))
         self.asked.append(headers.get("last-event-id"))
+        if not self.script:
+            await reader.read()
+            return False
         run = self.script.pop(0)
         body = run.body_after(headers.get("last-event-id", ""))
         writer.write(run.head(self.echoed_id or headers["x-request-id"]) + body)
@@ -142,22 +149,23 @@
     def __init__(self, route: Route) -> None:
         self.put(route)
 
-    def put(self, *routes: Route) -> None:
+    def put(self, *routes: Route, tenants: Iterable[Tenant] = ()) -> None:
         self.held = View()
-        self.held.__dict__["description"] = Description(routes=list(routes), limits=Limits())
+        description = Description(routes=list(routes), tenants=list(tenants), limits=Limits())
+        self.held.__dict__["description"] = description
 
     def view(self) -> View | None:
         return self.held
 
 
 class StreamSite:
-    """A node between a caller and workers; its clock stands still."""
+    """A node between a caller and workers. Without a clock of its own, its time stands still."""
 
-    def __init__(self, *scripts: list[Run], route: Route = RESUMABLE) -> None:
+    def __init__(self, *scripts: list[Run], route: Route = RESUMABLE, clock: Clock | None = None) -> None:
         self.workers = [ScriptedWorker(list(script)) for script in scripts]
         self.current = ChangingView(route)
         self.placer: Any = InTurn(self.workers, 4)  # type: ignore[arg-type]
-        self.bench = Bench()
+        self.bench = clock or Bench()
         self.violations: list[str] = []
 
     async def __aenter__(self) -> StreamSite:
@@ -265,6 +273,28 @@
                 asked = site.workers[1].asked
             self.assertEqual((received.end, received.body, asked), ("cut", events(1, 2), []), later)
 
+    async def test_a_stream_whose_route_or_key_is_gone_is_cut(self) -> None:
+        tenant = Tenant("t", [hash_key("k")])
+        for routes, tenants in (((), ()), ((replace(RESUMABLE, public=False),), (tenant,))):
+            broken = Run(chunk(events(1, 2)), is_reset=True)
+            async with StreamSite([broken], [continuing("b")]) as site:
+                site.workers[0].on_request = lambda: site.current.put(*routes, tenants=tenants)  # noqa: B023
+                received = await site.ask()
+                asked = site.workers[1].asked
+            self.assertEqual((received.end, received.body, asked), ("cut", events(1, 2), []))
+
+    async def test_a_stream_goes_on_at_another_service_or_with_other_times(self) -> None:
+        for later in (
+            replace(RESUMABLE, splits=[Split("other", 1)]),
+            replace(RESUMABLE, deadline_micros=3 * SECOND),
+            replace(RESUMABLE, name="other"),
+        ):
+            broken = Run(chunk(events(1, 2)), is_reset=True)
+            async with StreamSite([broken], [continuing("b")]) as site:
+                site.workers[0].on_request = lambda: site.current.put(later)  # noqa: B023
+                received = await site.ask()
+            self.assertEqual((received.end, received.body), ("whole", events(1, 2) + events(3, PIECES, "b")))
+
 
 class ViolationTest(unittest.IsolatedAsyncioTestCase):
     """A run that breaks the sequence ends there; its events before that stay given, and another run follows them."""
@@ -483,6 +513,61 @@
         self.assertEqual((received.end, received.body, asked), ("whole", b"".join(odd) + event(5, "b"), ["4"]))
 
 
+class VersionsInTurn(InTurn):
+    """Places a run at the first worker that it did not see, on the weights that this one has."""
+
+    def __init__(self, workers: list[Any], versions: tuple[int, ...]) -> None:
+        super().__init__(workers, 4)
+        self.version_of = {f"w{number}": version for number, version in enumerate(versions)}
+
+    def choose(self, view: View, route: Route, request: Any, tenant: Any, excluded: frozenset[str]) -> Result[Any, Any]:
+        chosen = super().choose(view, route, request, tenant, excluded)
+        return chosen.map(lambda choice: replace(choice, version=self.version_of[choice.backend.name]))
+
+
+class VersionTest(unittest.IsolatedAsyncioTestCase):
+    async def runs_at(self, *versions: int, first: Run) -> tuple[str, list[int]]:
+        """How an answer ended, and how many requests each of its workers got, by the versions of their weights."""
+        async with StreamSite([first], *[[continuing("b")] for _ in versions[1:]]) as site:
+            site.gate.placer = VersionsInTurn(site.workers, versions)  # type: ignore[assignment]
+            received = await site.ask()
+            return received.end, [len(worker.asked) for worker in site.workers]
+
+    async def test_a_begun_answer_does_not_go_back_to_older_weights(self) -> None:
+        broken = Run(chunk(events(1, 2)), is_reset=True)
+        self.assertEqual(await self.runs_at(3, 2, 3, first=broken), ("whole", [1, 0, 1]))
+        self.assertEqual(await self.runs_at(3, 2, 4, first=broken), ("whole", [1, 0, 1]))
+        self.assertEqual(await self.runs_at(3, 2, first=broken), ("cut", [1, 0]))
+
+    async def test_an_answer_that_gave_nothing_out_may_begin_on_any_weights(self) -> None:
+        self.assertEqual(await self.runs_at(3, 2, 3, first=Run(b"", is_reset=True)), ("whole", [1, 1, 0]))
+
+
+class TimeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_stream_that_falls_silent_is_cut_at_its_deadline(self) -> None:
+        """The second worker is not asked any more, and nothing looks whole."""
+        silent = Run(chunk(events(1, 2) + event(3)[:5]))
+        route = replace(RESUMABLE, deadline_micros=200 * MILLI)
+        async with StreamSite([silent], [continuing("b")], route=route, clock=BootClock()) as site:
+            received = await site.ask()
+            asked = site.workers[1].asked
+        self.assertEqual((received.end, received.body, asked), ("cut", events(1, 2), []))
+
+    async def test_a_caller_that_reads_slowly_gets_all_in_order(self) -> None:
+        body = b"".join(b"id: %d\ndata: %s\n\n" % (number, b"x" * 50_000) for number in range(1, 81))
+        async with StreamSite([Run(whole(body))], route=ROUTE) as site:
+            connection = RawConnection(site.address)
+            await connection.open()
+            await connection.send("POST", "/a/x", {"Host": "h", "X-Request-Id": "one"}, b"b")
+            head = await connection.read_head()
+            received = b""
+            async for part in connection.read_body(head):
+                received += part
+                await asyncio.sleep(0.002)
+            connection.close()
+        self.assertEqual(received, body)
+
+
 class HttpOneZeroTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_cut_answer_without_framing_ends_by_a_reset(self) -> None:
         """To a caller without chunks, an ordinary end of the connection says that the answer is whole."""
