--- a/src/pearhead/router/gateway.py
+++ b/src/pearhead/router/gateway.py
@@ -36,7 +36,7 @@
 from pearhead.rpc.wire_pb2 import KeptNote, ReadNote, Record, UseNote
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 from pearhead.runtime.crew import Crew
-from pearhead.runtime.invariants import InvariantCounters
+from pearhead.runtime.invariants import Invariant, InvariantCounters
 from pearhead.runtime.loop_lag import LoopLag
 from pearhead.runtime.net import Net
 
@@ -45,6 +45,8 @@
 USE_REPEAT_MICROS = 600 * MILLI
 SWEEP_MICROS = SECOND
 SAMPLE_SIZE = 3
+# From the choice of a worker until the request arrives there.
+ON_ITS_WAY_MICROS = 500 * MILLI
 # How long after SIGTERM the process is killed, where nobody tells it.
 GRACE_MICROS = 8 * SECOND
 
@@ -53,7 +55,8 @@
 class GatewaySettings:
     """`serve_on_micros`: how long a node serves by a view that it could not confirm since (§5.5).
 
-    `log_stats_micros`: how often a line of counts is logged; never if it is 0.
+    `log_stats_micros`: how often a line of counts is logged; never if it is 0. `leaving_micros`: how long a worker
+    serves on once the list shows that it leaves.
     """
 
     retry_ratio: float = 0.1
@@ -63,6 +66,7 @@
     list_micros: int = SECOND
     least_kept_tokens: int = 512
     log_stats_micros: int = 60 * SECOND
+    leaving_micros: int = 3 * SECOND
     drain_schedule: DrainSchedule = DrainSchedule.of_grace(GRACE_MICROS)
 
 
@@ -158,7 +162,7 @@
         budget = FleetBudget(clock, settings.retry_ratio, settings.retry_slack, settings.retry_window_micros)
         self.reads = ReadBook(clock, self.placer.expect, self._tell_read)
         self.courier.on_tell("read_note", self._take_read)
-        self.drain = DrainState(clock, settings.drain_schedule)
+        self.drain = DrainState(clock, settings.drain_schedule, self._take_drain_violation)
         self.gate = Gate(
             clock,
             self,
@@ -171,6 +175,7 @@
             self._note_versions,
             self.reads,
             self.drain,
+            check_send=self._check_roster,
         )
         self.stats_log = StatsLog(clock, self.gate, self.pool, budget, settings.log_stats_micros)
         self.taken_before_drain = 0
@@ -238,6 +243,15 @@
     def _take_use(self, identity: str, address: str, note: UseNote) -> None:
         self.loads.take(identity, note)
 
+    def _take_drain_violation(self, detail: str) -> None:
+        self.invariants.check(Invariant.DRAIN_FINISHES, False, detail)
+
+    def _check_roster(self) -> None:
+        """Called as a request is sent: the list behind its placement must be young enough to know who leaves."""
+        bound_micros = max(self.settings.leaving_micros - ON_ITS_WAY_MICROS, SECOND)
+        is_fresh = self.rosters.is_fresh_within(bound_micros)
+        self.invariants.check(Invariant.ROSTER_IS_FRESH, is_fresh, self.rosters.age_micros())
+
     def _sample(self, backends: list[Backend]) -> list[Backend]:
         """Many nodes with the same late word of all would all send to the same worker: each looks at a few (§8.8)."""
         if not self.relay.is_active() or len(backends) <= SAMPLE_SIZE:
--- a/src/pearhead/runtime/invariants.py
+++ b/src/pearhead/runtime/invariants.py
@@ -16,6 +16,8 @@
 
     LEAVING_IS_FINAL = "leaving_is_final"
     ROSTER_TIME_ADVANCES = "roster_time_advances"
+    ROSTER_IS_FRESH = "roster_is_fresh"
+    DRAIN_FINISHES = "drain_finishes"
 
 
 class InvariantViolationError(AssertionError):
