--- a/src/pearhead/consensus/__init__.py
+++ b/src/pearhead/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Raft: the replicated log of the control plane."""
--- /dev/null
+++ b/src/pearhead/consensus/elections.py
@@ -0,0 +1,143 @@
+"""Elections with pre-votes: asks for votes, grants them, counts them."""
+
+from __future__ import annotations
+
+from pearhead.consensus.election_timer import ElectionTimer
+from pearhead.consensus.persistence import LogWriter
+from pearhead.consensus.roles import RoleChanges
+from pearhead.consensus.state import RaftState, Role, Send
+from pearhead.rpc.wire_pb2 import ElectNow, VoteAsk, VoteResult
+
+
+class Elections:
+    """A member's part in elections, as candidate and as voter."""
+
+    def __init__(
+        self, state: RaftState, writer: LogWriter, timer: ElectionTimer, roles: RoleChanges, send: Send
+    ) -> None:
+        self.state = state
+        self.writer = writer
+        self.timer = timer
+        self.roles = roles
+        self.send = send
+        self.granted_by: set[str] = set()
+        self.is_pre_vote = False
+
+    # ---- voter -----------------------------------------------------------------------------------
+
+    def take_vote_ask(self, identity: str, address: str, ask: VoteAsk) -> None:
+        """Term and log decide, not who is known as a voter here: this log may lack the candidate's promotion (§4.1)."""
+        if (self.timer.is_leader_present() or self.state.is_leader()) and not ask.handover:
+            self.answer(address, ask, is_granted=False)
+            return
+        if not ask.trial and ask.epoch > self.state.term:
+            self.roles.become_follower(ask.epoch)
+        is_up_to_date = self._is_up_to_date(ask)
+        if ask.trial:
+            self.answer(address, ask, is_granted=is_up_to_date and ask.epoch > self.state.term)
+            return
+        is_free = self.state.voted_for in ("", identity)
+        if not (is_up_to_date and ask.epoch == self.state.term and is_free):
+            self.answer(address, ask, is_granted=False)
+            return
+        self._vote_for(identity, address, ask)
+
+    def _is_up_to_date(self, ask: VoteAsk) -> bool:
+        log = self.state.log
+        return (ask.last_epoch, ask.last_index) >= (log.last_term(), log.last_index())
+
+    def _vote_for(self, identity: str, address: str, ask: VoteAsk) -> None:
+        self.state.voted_for = identity
+        self.timer.reset()
+        vote_term = self.state.term
+        self.writer.persist_vote(lambda: self.answer(address, ask, is_granted=self.state.term == vote_term))
+
+    def answer(self, address: str, ask: VoteAsk, is_granted: bool) -> None:
+        """Always tells this member's own term: one that was only asked for is nobody's yet, and none may adopt it."""
+        result = VoteResult(epoch=self.state.term, granted=is_granted, trial=ask.trial, asked=ask.epoch)
+        self.send(address, "vote_result", result)
+
+    # ---- candidate -------------------------------------------------------------------------------
+
+    def take_timeout(self) -> None:
+        """The election deadline has passed."""
+        if self.may_stand() and not self.writer.is_stalled():
+            self.start(is_pre_vote=True, is_transfer=False)
+        else:
+            self.timer.reset()
+
+    def may_stand(self) -> bool:
+        """A voter that an uncommitted change leaves out may hold the longest log: it stands until that is committed."""
+        if self.state.is_installing_snapshot:
+            return False
+        identity, log = self.state.identity, self.state.log
+        present = log.membership()
+        if present.index <= self.state.commit_index:
+            return identity in present.voters
+        return identity in present.voters or identity in log.membership_at(present.index - 1).voters
+
+    def take_elect_now(self, ask: ElectNow) -> None:
+        """The leader of this term transfers its leadership to this member."""
+        is_voter = self.state.identity in self.state.log.membership().voters
+        if ask.epoch == self.state.term and is_voter and not self.state.is_installing_snapshot:
+            self.start(is_pre_vote=False, is_transfer=True)
+
+    def start(self, is_pre_vote: bool, is_transfer: bool) -> None:
+        """Becomes a candidate; a vote goes out once the own one is synced, a pre-vote at once."""
+        self.timer.retry_soon(is_pre_vote)
+        self.state.role = Role.CANDIDATE
+        self.state.leader_identity = ""
+        self.is_pre_vote = is_pre_vote
+        self.granted_by = set()
+        ask = self._build_ask(is_pre_vote, is_transfer)
+        if is_pre_vote:
+            self._ask_all(ask)
+            return
+        self.state.term += 1
+        self.state.voted_for = self.state.identity
+        vote_term = self.state.term
+
+        def ask_for_votes() -> None:
+            if self.state.term == vote_term and self.state.role == Role.CANDIDATE:
+                self._ask_all(ask)
+
+        self.writer.persist_vote(ask_for_votes)
+
+    def _build_ask(self, is_pre_vote: bool, is_transfer: bool) -> VoteAsk:
+        return VoteAsk(
+            epoch=self.state.term + 1,
+            last_index=self.state.log.last_index(),
+            last_epoch=self.state.log.last_term(),
+            trial=is_pre_vote,
+            handover=is_transfer,
+        )
+
+    def _ask_all(self, ask: VoteAsk) -> None:
+        self.granted_by.add(self.state.identity)
+        for voter_identity, voter_address in self.state.log.membership().voters.items():
+            if voter_identity != self.state.identity:
+                self.send(voter_address, "vote_ask", ask)
+        self.count_votes()
+
+    def take_vote_result(self, identity: str, result: VoteResult) -> None:
+        """Counts a vote that was granted in the election under way."""
+        if result.epoch > self.state.term:
+            self.roles.become_follower(result.epoch)
+            # Refused for its term alone, this member may well be the one to win: it asks again soon.
+            self.timer.retry_soon(is_pre_vote=True)
+            return
+        if self.state.role != Role.CANDIDATE or not result.granted or result.trial != self.is_pre_vote:
+            return
+        if result.asked != self.state.term + (1 if self.is_pre_vote else 0):
+            return
+        self.granted_by.add(identity)
+        self.count_votes()
+
+    def count_votes(self) -> None:
+        """A majority of pre-votes leads to a vote, and one of votes to leadership."""
+        if not self.state.log.membership().has_quorum(self.granted_by):
+            return
+        if self.is_pre_vote:
+            self.start(is_pre_vote=False, is_transfer=False)
+        else:
+            self.roles.become_leader()
--- /dev/null
+++ b/src/pearhead/consensus/leadership_transfer.py
@@ -0,0 +1,65 @@
+"""Moves leadership to another voter, so that nobody waits for an election timeout."""
+
+from __future__ import annotations
+
+from pearhead.consensus.state import RaftState, Send
+from pearhead.rpc.wire_pb2 import ElectNow
+from pearhead.runtime.clock import SECOND, Clock
+
+TRANSFER_MICROS = SECOND
+
+
+class LeadershipTransfer:
+    """A transfer under way, during which nothing is proposed."""
+
+    def __init__(self, state: RaftState, clock: Clock, send: Send) -> None:
+        self.state = state
+        self.clock = clock
+        self.send = send
+        self.deadline_micros: int | None = None
+        self.target = ""
+
+    def is_under_way(self) -> bool:
+        """Whether a target was chosen and neither leads yet nor took too long."""
+        return self.deadline_micros is not None
+
+    def start(self) -> bool:
+        """Chooses the voter that holds the most of the log; False if there is none."""
+        if not self.state.is_leader():
+            return False
+        candidates = [i for i in self._voters() if i != self.state.identity and i in self.state.followers]
+        if not candidates:
+            return False
+        self.target = self.state.best_follower(candidates)
+        self.deadline_micros = self.clock.now() + TRANSFER_MICROS
+        self.try_to_finish()
+        return True
+
+    def try_to_finish(self) -> None:
+        """Lets the target stand for election as soon as it holds the whole log."""
+        if not self.is_under_way() or not self.state.is_leader():
+            return
+        follower = self.state.followers.get(self.target)
+        if follower is not None and follower.match_index == self.state.log.last_index():
+            self._tell_to_stand(self.target)
+
+    def transfer_at_once(self) -> None:
+        """A leader that must step down lets the best follower stand, whatever it lacks."""
+        candidates = [i for i in self._voters() if i in self.state.followers]
+        if candidates:
+            self._tell_to_stand(self.state.best_follower(candidates))
+
+    def cancel(self) -> None:
+        """Ends the transfer, if one is under way."""
+        self.deadline_micros = None
+
+    def cancel_if_late(self) -> None:
+        """Ends a transfer whose target did not take over in time."""
+        if self.deadline_micros is not None and self.clock.now() > self.deadline_micros:
+            self.cancel()
+
+    def _voters(self) -> dict[str, str]:
+        return self.state.log.membership().voters
+
+    def _tell_to_stand(self, identity: str) -> None:
+        self.send(self._voters()[identity], "elect_now", ElectNow(epoch=self.state.term))
--- /dev/null
+++ b/src/pearhead/consensus/persistence.py
@@ -0,0 +1,110 @@
+"""Writes term, vote and entries of one member to its log on disk, in order, and tells when they are synced."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+from collections.abc import Callable
+
+from pearhead.consensus.state import RaftState
+from pearhead.consensus.wal import Wal
+from pearhead.rpc.wire_pb2 import LogRecord, Mark
+from pearhead.runtime.clock import MILLI, Clock, rest
+
+LOGGER = logging.getLogger("pearhead")
+STALL_MICROS = 1_500 * MILLI
+SLOW_FLUSH_MICROS = 50 * MILLI
+FULL_RETRY_MICROS = 500 * MILLI
+
+SyncedCallback = Callable[[], None]
+
+
+def do_nothing() -> None:
+    """The callback of a record whose sync nobody waits for."""
+
+
+class LogWriter:
+    """Group commit: all records that gather while one batch is synced go as the next batch."""
+
+    def __init__(self, state: RaftState, wal: Wal, clock: Clock, fail: Callable[[str], None]) -> None:
+        self.state = state
+        self.wal = wal
+        self.clock = clock
+        self.fail = fail
+        self.pending_records: list[LogRecord] = []
+        self.pending_callbacks: list[SyncedCallback] = []
+        self.flush_started: int | None = None
+        self.wake = asyncio.Event()
+        self.disk_full = False
+
+    def persist(self, records: list[LogRecord], callback: SyncedCallback) -> None:
+        """Queues records; the callback runs when these and all earlier ones are synced."""
+        self.pending_records.extend(records)
+        self.pending_callbacks.append(callback)
+        self.wake.set()
+
+    def persist_vote(self, callback: SyncedCallback) -> None:
+        """Queues the present term and vote."""
+        mark = Mark(epoch=self.state.term, voted_for=self.state.voted_for)
+        self.persist([LogRecord(mark=mark)], callback)
+
+    async def drain(self) -> None:
+        """Returns when all records queued so far are synced."""
+        drained: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.persist([], lambda: drained.set_result(None))
+        await drained
+
+    def is_busy(self) -> bool:
+        """Whether records wait or are being synced."""
+        return bool(self.pending_records) or self.flush_started is not None
+
+    def is_slow(self) -> bool:
+        """Whether the present sync takes longer than a leader should wait without any answer."""
+        return self._flush_micros() > SLOW_FLUSH_MICROS
+
+    def is_stalled(self) -> bool:
+        """Whether the disk is full or a sync takes so long that this member must not lead."""
+        return self.disk_full or self._flush_micros() > STALL_MICROS
+
+    def _flush_micros(self) -> int:
+        return self.clock.now() - self.flush_started if self.flush_started is not None else 0
+
+    async def run(self) -> None:
+        """Writes what is queued, for ever."""
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            records, self.pending_records = self.pending_records, []
+            callbacks, self.pending_callbacks = self.pending_callbacks, []
+            self.flush_started = self.clock.now()
+            if records:
+                await self._write_until_done(records)
+            self.flush_started = None
+            for callback in callbacks:
+                callback()
+
+    async def _write_until_done(self, records: list[LogRecord]) -> None:
+        while True:
+            try:
+                await self.wal.append(records)
+                self.disk_full = False
+                return
+            except OSError as disk_error:
+                self._note_error(disk_error)
+                await rest(self.clock, FULL_RETRY_MICROS)
+
+    def take_snapshot_error(self, disk_error: OSError) -> None:
+        """A snapshot could not be written."""
+        self._note_error(disk_error)
+        # Written until the disk takes it: without it nobody would see that there is room again.
+        self.persist_vote(do_nothing)
+
+    def _note_error(self, disk_error: OSError) -> None:
+        if disk_error.errno == errno.ENOSPC:
+            if not self.disk_full:
+                LOGGER.error("consensus: The disk is full.")
+            self.disk_full = True
+            return
+        # After a failed sync nothing is known of the file: going on could lose an acknowledgement.
+        self.fail(f"the disk failed: {disk_error}")
--- /dev/null
+++ b/src/pearhead/consensus/read_confirmation.py
@@ -0,0 +1,56 @@
+"""Confirms before a read that a majority still follows this leader (Raft's ReadIndex)."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from pearhead.consensus.state import RaftState
+
+
+@dataclass(frozen=True)
+class PendingConfirmation:
+    """A read that waits until a majority has answered this round or a later one."""
+
+    round_number: int
+    future: asyncio.Future[bool]
+
+
+class ReadConfirmations:
+    """The reads that wait for a majority."""
+
+    def __init__(self, state: RaftState) -> None:
+        self.state = state
+        self.pending: list[PendingConfirmation] = []
+
+    def begin(self) -> asyncio.Future[bool]:
+        """Begins a round, whose messages the caller sends: only answers to these count."""
+        self.state.round_number += 1
+        confirmation: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.pending.append(PendingConfirmation(self.state.round_number, confirmation))
+        return confirmation
+
+    def resolve(self) -> None:
+        """Confirms the reads of all rounds that a majority has answered."""
+        if not self.pending:
+            return
+        agreed_round = self.state.log.membership().agreed(self._heard_round)
+        still_pending = []
+        for confirmation in self.pending:
+            if confirmation.round_number > agreed_round:
+                still_pending.append(confirmation)
+            elif not confirmation.future.done():
+                confirmation.future.set_result(True)
+        self.pending = still_pending
+
+    def _heard_round(self, identity: str) -> int:
+        if identity == self.state.identity:
+            return self.state.round_number
+        return self.state.followers[identity].heard_round
+
+    def fail_all(self) -> None:
+        """This member leads no more."""
+        for confirmation in self.pending:
+            if not confirmation.future.done():
+                confirmation.future.set_result(False)
+        self.pending = []
--- a/src/pearhead/consensus/replication.py
+++ b/src/pearhead/consensus/replication.py
@@ -1,91 +1,236 @@
-"""What replication keeps beside the log: a leader's view of one member, and a snapshot on its way in (§4.1)."""
+"""A leader's side of replication: sends entries and heartbeats, and commits what a majority holds."""
 
 from __future__ import annotations
 
-import zlib
-from dataclasses import dataclass, field
-
-from pearhead.rpc.wire_pb2 import DigestAsk, DigestFile
-from pearhead.runtime.clock import MILLI, SECOND
-
-# A link is taken to bear this much a second at first, and an answer to take this long at least.
-SLOW_BYTES = 4 * 1024 * 1024
-LEAST_WAIT_MICROS = 100 * MILLI
-MOST_PATIENCE = 32
-
-
-class Follower:
-    """What a leader knows of one member."""
-
-    def __init__(self, next_index: int, heard_micros: int) -> None:
-        self.next_index = next_index
-        self.match_index = 0
-        self.heard_micros = heard_micros
-        self.has_answered = False
-        self.heard_round = 0
-        self.sent_micros = -SECOND
-        self.in_flight = False
-        # Until when the answer to what is in flight is awaited, and the last index of it.
-        self.batch_micros = 0
-        self.batch_last = 0
-        self.batch_round = 0
-        self.patience = 1
-        self.digest_offset: int | None = None
-        self.digest_file: DigestFile | None = None
-        self.digest_checksum = 0
-
-    def note_sent(self, now_micros: int, size: int, last_index: int, round_number: int) -> None:
-        """Something that wants an answer goes out. A slow link is given twice the time at each repeat."""
-        is_repeat = last_index == self.batch_last and now_micros >= self.batch_micros and self.batch_micros > 0
-        self.patience = min(self.patience * 2, MOST_PATIENCE) if is_repeat else self.patience
-        self.batch_micros = now_micros + self.patience * (LEAST_WAIT_MICROS + size * SECOND // SLOW_BYTES)
-        self.batch_last, self.batch_round = last_index, round_number
-
-    def note_answered(self) -> None:
-        """The answer came: what is sent next may be a little less patient."""
-        self.in_flight = False
-        self.batch_micros = 0
-        self.patience = max(self.patience // 2, 1)
-
-    def note_overtaken(self) -> None:
-        """A later beat was answered, and links keep their order: what was in flight is lost, and goes again at once."""
-        self.in_flight = False
-        self.batch_micros = 0
-        self.patience = 1
-
-
-@dataclass(frozen=True)
-class SnapshotSource:
-    """Tells one snapshot from every other: who sends it in which epoch, and what it is."""
-
-    leader: str
-    epoch: int
-    index: int
-    last_epoch: int
-    total: int
-    checksum: int
-
-
-@dataclass
-class IncomingSnapshot:
-    """Joins the pieces of one snapshot; a piece of another one begins anew."""
-
-    source: SnapshotSource | None = None
-    state: bytearray = field(default_factory=bytearray)
-
-    def take(self, leader: str, ask: DigestAsk) -> int:
-        """Takes a piece that continues what is here; returns the offset of the piece that is wanted next."""
-        source = SnapshotSource(leader, ask.epoch, ask.index, ask.last_epoch, ask.total, ask.checksum)
-        if source != self.source:
-            self.source, self.state = source, bytearray()
-        if ask.offset == len(self.state):
-            self.state += ask.chunk
-        return len(self.state)
-
-    def is_sound(self) -> bool:
-        """Whether the joined pieces have the checksum of the whole."""
-        return self.source is not None and zlib.crc32(self.state) == self.source.checksum
-
-    def drop(self) -> None:
-        """Forgets all pieces."""
-        self.source, self.state = None, bytearray()
+from pearhead.consensus.applier import Applier
+from pearhead.consensus.election_timer import HEARTBEAT_MICROS
+from pearhead.consensus.follower import Follower
+from pearhead.consensus.leadership_transfer import LeadershipTransfer
+from pearhead.consensus.log import KIND_MEMBERS, KIND_NOOP
+from pearhead.consensus.persistence import LogWriter
+from pearhead.consensus.read_confirmation import ReadConfirmations
+from pearhead.consensus.roles import RoleChanges
+from pearhead.consensus.snapshot_sender import SnapshotSender
+from pearhead.consensus.state import RaftState, Send
+from pearhead.rpc.wire_pb2 import AppendAsk, AppendResult, DigestResult, Entry, LogRecord
+from pearhead.runtime.clock import SECOND, Clock
+
+UNHEARD_MICROS = SECOND
+# A smaller batch may go twice: that costs less than to know whether it is lost.
+LARGE_BATCH_BYTES = 64 * 1024
+BATCH_ENTRIES = 256
+BATCH_BYTES = 4 * 1024 * 1024
+
+
+class LeaderReplication:
+    """Brings every follower's log to the state of the leader's."""
+
+    def __init__(
+        self,
+        state: RaftState,
+        writer: LogWriter,
+        roles: RoleChanges,
+        applier: Applier,
+        reads: ReadConfirmations,
+        transfer: LeadershipTransfer,
+        snapshot_sender: SnapshotSender,
+        clock: Clock,
+        send: Send,
+    ) -> None:
+        self.state = state
+        self.writer = writer
+        self.roles = roles
+        self.applier = applier
+        self.reads = reads
+        self.transfer = transfer
+        self.snapshot_sender = snapshot_sender
+        self.clock = clock
+        self.send = send
+
+    # ---- the leader's log ------------------------------------------------------------------------
+
+    def begin_term(self) -> None:
+        """Forgets what an earlier term knew of the followers, and appends the first entry of this one."""
+        self.state.followers = {}
+        self._match_followers()
+        self.append(KIND_NOOP, b"")
+
+    def append(self, kind: int, payload: bytes) -> Entry:
+        """Appends an entry of the present term and sends it to all."""
+        entry = Entry(index=self.state.log.last_index() + 1, epoch=self.state.term, kind=kind, payload=payload)
+        self.state.log.append(entry)
+        if kind == KIND_MEMBERS:
+            self._match_followers()
+        entry_index, entry_term = entry.index, entry.epoch
+
+        def note_synced() -> None:
+            if self.state.log.mark_durable(entry_index, entry_term):
+                self.advance_commit()
+
+        self.writer.persist([LogRecord(entry=entry)], note_synced)
+        self.broadcast()
+        return entry
+
+    def _match_followers(self) -> None:
+        """Keeps one Follower for each other member of the latest membership."""
+        followers = self.state.followers
+        identities = {m.identity for m in self.state.log.membership().members.member} - {self.state.identity}
+        for added_identity in sorted(identities - set(followers)):
+            followers[added_identity] = Follower(self.state.log.last_index() + 1, self.clock.now())
+        for removed_identity in sorted(set(followers) - identities):
+            del followers[removed_identity]
+
+    def advance_commit(self) -> None:
+        """Commits what a majority holds, if the last of it is of the present term."""
+        if not self.state.is_leader():
+            return
+        agreed_index = self.state.log.membership().agreed(self._durable_index)
+        if agreed_index > self.state.commit_index and self.state.log.term_at(agreed_index) == self.state.term:
+            self.applier.commit_to(agreed_index)
+            self.broadcast()
+
+    def _durable_index(self, identity: str) -> int:
+        if identity == self.state.identity:
+            return self.state.log.durable_index
+        return self.state.followers[identity].match_index
+
+    # ---- sending ---------------------------------------------------------------------------------
+
+    def broadcast(self) -> None:
+        """Sends to all followers what they lack."""
+        for follower_identity in list(self.state.followers):
+            self.send_append(follower_identity)
+
+    def send_heartbeats(self) -> None:
+        """Sends something to each follower that got nothing for an interval."""
+        now_micros = self.clock.now()
+        for follower_identity, follower in self.state.followers.items():
+            if now_micros - follower.sent_micros >= HEARTBEAT_MICROS:
+                # A large batch is long on its way; meanwhile an empty one goes, and tells that this one leads.
+                follower.in_flight = follower.in_flight and now_micros < follower.batch_micros
+                self.send_append(follower_identity, is_heartbeat=True)
+
+    def send_append(self, follower_identity: str, is_heartbeat: bool = False) -> None:
+        """Sends what one follower lacks, unless something is on its way and nothing else is due."""
+        follower = self.state.followers[follower_identity]
+        address = self.state.log.membership().addresses.get(follower_identity, "")
+        is_round_due = follower.heard_round < self.state.round_number
+        if (follower.in_flight and not is_round_due and not is_heartbeat) or not address:
+            return
+        follower.sent_micros = self.clock.now()
+        if follower.snapshot is not None or follower.next_index <= self.state.log.base_index:
+            self._send_snapshot(follower, address)
+        else:
+            self._send_entries(follower, address)
+
+    def _send_entries(self, follower: Follower, address: str) -> None:
+        previous_index = follower.next_index - 1
+        entries = [] if follower.in_flight else self.batch_after(previous_index)
+        if entries:
+            batch_bytes = sum(len(entry.payload) for entry in entries)
+            if batch_bytes >= LARGE_BATCH_BYTES:
+                # Only heartbeats sent after it have this round: if one is answered first, the batch is lost.
+                self.state.round_number += 1
+            follower.note_sent(follower.sent_micros, batch_bytes, entries[-1].index, self.state.round_number)
+        elif not follower.in_flight:
+            follower.note_sent(follower.sent_micros, 0, previous_index, self.state.round_number)
+        follower.in_flight = True
+        self._send_append_ask(address, previous_index, entries)
+
+    def _send_snapshot(self, follower: Follower, address: str) -> None:
+        """A piece at a time; while one is on its way, no more than a heartbeat goes."""
+        if follower.in_flight and self.clock.now() < follower.batch_micros:
+            self._send_append_ask(address, self.state.log.base_index, [])
+        else:
+            self.snapshot_sender.send_chunk(follower, address)
+
+    def _send_append_ask(self, address: str, previous_index: int, entries: list[Entry]) -> None:
+        ask = AppendAsk(
+            epoch=self.state.term,
+            previous_index=previous_index,
+            previous_epoch=self.state.log.term_at(previous_index),
+            entry=entries,
+            commit_index=self.state.commit_index,
+            round=self.state.round_number,
+        )
+        self.send(address, "append_ask", ask)
+
+    def batch_after(self, index: int) -> list[Entry]:
+        """The entries that go in one message. A frame has a limit, so a batch has one too; one entry always goes."""
+        position = index - self.state.log.base_index
+        batch = self.state.log.entries[position : position + BATCH_ENTRIES]
+        batch_bytes = 0
+        for count, entry in enumerate(batch):
+            batch_bytes += len(entry.payload)
+            if count and batch_bytes > BATCH_BYTES:
+                return batch[:count]
+        return batch
+
+    # ---- answers ---------------------------------------------------------------------------------
+
+    def take_append_result(self, identity: str, result: AppendResult) -> None:
+        """A follower took entries, refused them, or tells that it waits for its disk."""
+        follower = self._note_heard(identity, result.epoch, result.round)
+        if follower is None:
+            return
+        self._note_append_result(follower, result)
+        self.reads.resolve()
+        if result.waiting:
+            return
+        if follower.snapshot is not None:
+            if result.round >= follower.batch_round:
+                follower.note_overtaken()
+                self.send_append(identity)
+            return
+        self.advance_commit()
+        if follower.next_index <= self.state.log.last_index():
+            self.send_append(identity)
+        self.transfer.try_to_finish()
+
+    def _note_append_result(self, follower: Follower, result: AppendResult) -> None:
+        """Notes how much of the log a follower holds; one that gets a snapshot tells nothing of that."""
+        if result.waiting or follower.snapshot is not None:
+            return
+        if result.success and result.match_index >= follower.batch_last:
+            follower.note_answered()
+        elif not result.success or result.round >= follower.batch_round:
+            follower.note_overtaken()
+        if result.success:
+            follower.match_index = max(follower.match_index, result.match_index)
+            follower.next_index = max(follower.next_index, follower.match_index + 1)
+        else:
+            hint_index = min(result.match_index + 1, follower.next_index - 1)
+            follower.next_index = max(follower.match_index + 1, hint_index)
+
+    def take_digest_result(self, identity: str, result: DigestResult) -> None:
+        """A follower took a piece of a snapshot, or has installed the whole."""
+        follower = self._note_heard(identity, result.epoch, result.round)
+        if follower is None:
+            return
+        is_next_due = self.snapshot_sender.take_result(follower, result)
+        self.reads.resolve()
+        if is_next_due:
+            self.send_append(identity)
+
+    def _note_heard(self, identity: str, result_term: int, round_number: int) -> Follower | None:
+        """The follower whose answer to this leader came; None if the answer is of another term."""
+        if result_term > self.state.term:
+            self.roles.become_follower(result_term)
+            return None
+        follower = self.state.followers.get(identity)
+        if not self.state.is_leader() or result_term != self.state.term or follower is None:
+            return None
+        follower.note_heard(self.clock.now(), round_number)
+        return follower
+
+    def has_quorum(self) -> bool:
+        """Whether a majority answered within the last second."""
+        return self.state.log.membership().has_quorum([i for i in self._voters() if self._is_heard(i)])
+
+    def _voters(self) -> dict[str, str]:
+        return self.state.log.membership().voters
+
+    def _is_heard(self, identity: str) -> bool:
+        if identity == self.state.identity:
+            return True
+        return self.clock.now() - self.state.followers[identity].heard_micros < UNHEARD_MICROS
--- /dev/null
+++ b/src/pearhead/consensus/snapshot_receiver.py
@@ -0,0 +1,116 @@
+"""A follower's side of a snapshot transfer: joins the pieces that the leader sends and installs the whole."""
+
+from __future__ import annotations
+
+import logging
+import zlib
+from dataclasses import dataclass, field
+
+from pearhead.consensus.persistence import LogWriter
+from pearhead.consensus.roles import RoleChanges
+from pearhead.consensus.snapshot_store import SnapshotStore
+from pearhead.consensus.state import RaftState, Send
+from pearhead.rpc.wire_pb2 import DigestAsk, DigestFile, DigestResult, Entry
+
+LOGGER = logging.getLogger("pearhead")
+
+
+@dataclass(frozen=True)
+class SnapshotSource:
+    """Tells one snapshot from every other: who sends it in which term, and what it is."""
+
+    leader: str
+    term: int
+    index: int
+    last_term: int
+    total: int
+    checksum: int
+
+
+@dataclass
+class IncomingSnapshot:
+    """Joins the pieces of one snapshot; a piece of another one begins anew."""
+
+    source: SnapshotSource | None = None
+    state: bytearray = field(default_factory=bytearray)
+
+    def take(self, leader: str, ask: DigestAsk) -> int:
+        """Takes a piece that continues what is here; returns the offset of the piece that is wanted next."""
+        source = SnapshotSource(leader, ask.epoch, ask.index, ask.last_epoch, ask.total, ask.checksum)
+        if source != self.source:
+            self.source, self.state = source, bytearray()
+        if ask.offset == len(self.state):
+            self.state += ask.chunk
+        return len(self.state)
+
+    def is_sound(self) -> bool:
+        """Whether the joined pieces have the checksum of the whole."""
+        return self.source is not None and zlib.crc32(self.state) == self.source.checksum
+
+    def drop(self) -> None:
+        """Forgets all pieces."""
+        self.source, self.state = None, bytearray()
+
+
+class SnapshotReceiver:
+    """Receives snapshots from the leader."""
+
+    def __init__(
+        self, state: RaftState, store: SnapshotStore, writer: LogWriter, roles: RoleChanges, send: Send
+    ) -> None:
+        self.state = state
+        self.store = store
+        self.writer = writer
+        self.roles = roles
+        self.send = send
+        self.incoming = IncomingSnapshot()
+
+    def take_digest_ask(self, identity: str, address: str, ask: DigestAsk) -> None:
+        """Takes one piece; the last one is answered only when the whole snapshot is installed."""
+        result = DigestResult(epoch=self.state.term, index=ask.index, round=ask.round)
+        if ask.epoch < self.state.term:
+            self._answer(address, result)
+            return
+        self.roles.follow(ask.epoch, identity)
+        result.epoch = self.state.term
+        result.next_offset = self.incoming.take(identity, ask)
+        if result.next_offset < ask.total or ask.index <= self.state.commit_index:
+            self._answer(address, result)
+        elif not self.incoming.is_sound():
+            LOGGER.error("consensus: A snapshot fails its checksum. index=%d", ask.index)
+            self.incoming.drop()
+            result.next_offset = 0
+            self._answer(address, result)
+        elif not self.store.is_busy:
+            self.store.is_busy = self.state.is_installing_snapshot = True
+            self.store.crew.start(self._install(self._whole_snapshot(ask), address, result))
+
+    def _answer(self, address: str, result: DigestResult) -> None:
+        self.send(address, "digest_result", result)
+
+    def _whole_snapshot(self, ask: DigestAsk) -> DigestFile:
+        snapshot = DigestFile(index=ask.index, epoch=ask.last_epoch, state=bytes(self.incoming.state))
+        snapshot.members.CopyFrom(ask.members)
+        return snapshot
+
+    async def _install(self, snapshot: DigestFile, address: str, result: DigestResult) -> None:
+        try:
+            # What waits to be written goes first; nothing new is taken meanwhile.
+            await self.writer.drain()
+            kept_entries = self._entries_after(snapshot)
+            await self.store.wal.reset_to(snapshot, kept_entries)
+            if snapshot.index > self.state.commit_index:
+                self.store.load(snapshot)
+                self.state.log.replace_entries(kept_entries)
+            self._answer(address, result)
+        except OSError as disk_error:
+            self.writer.take_snapshot_error(disk_error)
+        finally:
+            self.store.is_busy = self.state.is_installing_snapshot = False
+
+    def _entries_after(self, snapshot: DigestFile) -> list[Entry]:
+        """The entries that follow the snapshot, if this log holds its last entry."""
+        log = self.state.log
+        if snapshot.index > log.last_index() or log.term_at(snapshot.index) != snapshot.epoch:
+            return []
+        return log.entries[snapshot.index - log.base_index :]
--- /dev/null
+++ b/src/pearhead/consensus/snapshot_store.py
@@ -0,0 +1,100 @@
+"""Takes snapshots of the state machine, keeps them on disk and compacts the log behind them (§4.3)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pearhead.consensus.persistence import LogWriter
+from pearhead.consensus.state import RaftState, StateMachine
+from pearhead.consensus.wal import Wal
+from pearhead.rpc.wire_pb2 import DigestFile, Entry
+from pearhead.runtime.crew import Crew
+
+
+@dataclass(frozen=True)
+class SnapshotLimits:
+    """When a snapshot is due, by entries or by bytes, and how many entries stay in the log behind it."""
+
+    every_entries: int
+    kept_entries: int
+    every_bytes: int
+
+
+class SnapshotStore:
+    """The snapshots of one member; one at a time is written."""
+
+    def __init__(
+        self, state: RaftState, machine: StateMachine, wal: Wal, writer: LogWriter, crew: Crew, limits: SnapshotLimits
+    ) -> None:
+        self.state = state
+        self.machine = machine
+        self.wal = wal
+        self.writer = writer
+        self.crew = crew
+        self.limits = limits
+        self.snapshot_index = 0
+        self.applied_bytes = 0
+        # A snapshot is being written, the own one or one from the leader.
+        self.is_busy = False
+
+    def note_applied(self, entry: Entry) -> None:
+        """An entry was applied, which counts towards the next snapshot."""
+        self.applied_bytes += len(entry.payload)
+
+    def keep_if_due(self) -> None:
+        """Begins to write a snapshot if enough was applied since the last one."""
+        applied_entries = self.state.applied_index - self.snapshot_index
+        is_due = applied_entries >= self.limits.every_entries or self.applied_bytes >= self.limits.every_bytes
+        if is_due and applied_entries > 0 and not self.is_busy:
+            self.is_busy = True
+            self.applied_bytes = 0
+            self.crew.start(self.keep(self.build()))
+
+    def build(self) -> DigestFile:
+        """A snapshot of all that is applied now."""
+        applied_index = self.state.applied_index
+        snapshot = DigestFile(
+            index=applied_index,
+            epoch=self.state.log.term_at(applied_index),
+            state=self.machine.take_digest(),
+        )
+        snapshot.members.CopyFrom(self.state.log.membership_at(applied_index).members)
+        return snapshot
+
+    async def keep(self, snapshot: DigestFile) -> None:
+        """Writes a snapshot, then compacts the log."""
+        try:
+            await self.wal.keep_digest(snapshot)
+            self.snapshot_index = snapshot.index
+            self._compact_log(snapshot.index)
+        except OSError as disk_error:
+            self.writer.take_snapshot_error(disk_error)
+        finally:
+            self.is_busy = False
+
+    def _compact_log(self, snapshot_index: int) -> None:
+        log = self.state.log
+        new_base_index = min(snapshot_index, max(log.base_index, snapshot_index - self.limits.kept_entries))
+        new_base_index = max(new_base_index, self._base_by_bytes(snapshot_index))
+        if new_base_index > log.base_index:
+            log.compact_to(new_base_index)
+
+    def _base_by_bytes(self, index: int) -> int:
+        """Behind a snapshot no more bytes of entries are kept than lead to the next one (§4.3)."""
+        kept_bytes = 0
+        while index > self.state.log.base_index:
+            entry = self.state.log.entry_at(index)
+            assert entry is not None
+            kept_bytes += len(entry.payload)
+            if kept_bytes > self.limits.every_bytes:
+                break
+            index -= 1
+        return index
+
+    def load(self, snapshot: DigestFile) -> None:
+        """Replaces the state machine and the log by a snapshot that is on disk."""
+        self.machine.load_digest(snapshot.state)
+        self.state.log.restore(snapshot)
+        self.state.commit_index = self.state.applied_index = snapshot.index
+        self.snapshot_index = snapshot.index
+        self.applied_bytes = 0
--- a/src/pearhead/control_plane/core.py
+++ b/src/pearhead/control_plane/core.py
@@ -138,8 +138,8 @@
             self.fail,
         )
         self.view_service = ViewService(self.identity, self.raft, self.fleet)
-        self.raft.leadership_watchers.append(self._take_leadership)
-        self.raft.members_watcher = self._take_members
+        self.raft.watch_leadership(self._take_leadership)
+        self.raft.watch_members(self._take_members)
         self.serializer = Serializer(
             self, self.courier, self.directory, self.clock, self.crew, self.startup.tableLifetimeMicros
         )
@@ -264,7 +264,7 @@
         return self.fleet.revisions_of(f"{owner}/{line}")
 
     def position(self) -> tuple[int, int]:
-        return self.raft.epoch, self.raft.applied_index
+        return self.raft.term, self.raft.applied_index
 
     # ---- commands --------------------------------------------------------------------------------
 
@@ -404,12 +404,12 @@
         return {
             "kind": "core",
             "area": self.startup.area,
-            "digestIndex": self.raft.digest_index,
+            "digestIndex": self.raft.snapshot_index,
             "holds": self.fleet.holds,
             "identity": self.identity,
             "address": self.startup.address,
             "role": self.raft.role,
-            "epoch": self.raft.epoch,
+            "epoch": self.raft.term,
             "leader": self.raft.leader_address(),
             "commitIndex": self.raft.commit_index,
             "lastIndex": self.raft.last_index(),
--- a/src/pearhead/control_plane/folder.py
+++ b/src/pearhead/control_plane/folder.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from pearhead.consensus.raft import KIND_COMMAND, KIND_MEMBERS
+from pearhead.consensus.log import KIND_COMMAND, KIND_MEMBERS
 from pearhead.consensus.wal import Wal, WalCorruptError
 from pearhead.control_plane.fleet import Fleet, UnknownCommandError
 from pearhead.rpc.wire_pb2 import Members
--- a/src/pearhead/control_plane/membership_controller.py
+++ b/src/pearhead/control_plane/membership_controller.py
@@ -95,12 +95,12 @@
         """A member by its own log may have been let go since: then nobody leads it any more."""
         if self.raft.is_leader():
             return True
-        was_heard = self.clock.now() - self.raft.heard_leader <= ALONE_MICROS
+        was_heard = self.clock.now() - self.raft.heard_leader_micros <= ALONE_MICROS
         return was_heard and self.identity in self.raft.membership().addresses
 
     async def _found(self) -> None:
         try:
-            await self.raft.found(self.startup.address, len(self.founders), self.startup.area)
+            await self.raft.bootstrap(self.startup.address, len(self.founders), self.startup.area)
         except OSError as disk_error:
             if disk_error.errno != errno.ENOSPC:
                 self.fail(f"the disk failed: {disk_error}")
@@ -185,7 +185,7 @@
             await self._let_leave(self.identity)
         elif self.raft.leader_address():
             await self.courier.ask(self.raft.leader_address(), "leave_ask", LeaveAsk(), LEAVE_MICROS + JOIN_ASK_MICROS)
-        if self.raft.hand_over():
+        if self.raft.transfer_leadership():
             end_micros = self.clock.now() + 2 * SECOND
             while self.raft.is_leader() and self.clock.now() < end_micros:
                 await rest(self.clock, 20 * MILLI)
--- a/src/pearhead/control_plane/rescue.py
+++ b/src/pearhead/control_plane/rescue.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from pearhead.consensus.raft import KIND_MEMBERS
+from pearhead.consensus.log import KIND_MEMBERS
 from pearhead.consensus.wal import Wal
 from pearhead.rpc.wire_pb2 import Entry, LogRecord, Mark, Member, Members
 from pearhead.runtime.disk import Disk
--- a/src/pearhead/control_plane/view_service.py
+++ b/src/pearhead/control_plane/view_service.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from pearhead.consensus.raft import KIND_COMMAND, RaftMember
+from pearhead.consensus.log import KIND_COMMAND
+from pearhead.consensus.raft import RaftMember
 from pearhead.control_plane.fleet import Fleet
 from pearhead.rpc.delta_packing import DeltaPacker
 from pearhead.rpc.wire_pb2 import Entry, TermAsk, TermResult
--- a/src/pearhead/testbed/capacity/change_costs.py
+++ b/src/pearhead/testbed/capacity/change_costs.py
@@ -142,10 +142,10 @@
     async def start(self) -> None:
         for member in self.members:
             await member.recover()
-        await self.leader.found("0")
+        await self.leader.bootstrap("0")
         for member in self.members:
             member.start()
-        self.leader.take_elect_now("0", "0", ElectNow(epoch=self.leader.epoch))
+        self.leader.take_elect_now("0", "0", ElectNow(epoch=self.leader.term))
         await self.until(self.leader.settled)
         for count in range(2, MEMBER_COUNT + 1):
             changed = [Member(identity=str(n), address=str(n), voter=True) for n in range(count)]
@@ -278,7 +278,7 @@
         told_bytes=told,
         written_bytes=written,
         held_bytes=trio.disks[0].held_bytes(),
-        entry_count=len(leader.entries),
+        entry_count=len(leader.log.entries),
         snapshot_bytes=len(fleet.take_digest()),
         snapshot_micros=_processor_micros(fleet.take_digest),
         lookup_micros=_processor_micros(lambda: _look_up(leader)) / LOOKUP_COUNT,
--- a/src/pearhead/testbed/simulator/control_mutations.py
+++ b/src/pearhead/testbed/simulator/control_mutations.py
@@ -10,9 +10,10 @@
 from google.protobuf.message import Message
 from result import Result
 
-from pearhead.consensus import raft
+from pearhead.consensus import replication
+from pearhead.consensus.elections import Elections
 from pearhead.consensus.membership import Membership
-from pearhead.consensus.raft import RaftMember
+from pearhead.consensus.replication import LeaderReplication
 from pearhead.control_plane import fleet as fleet_module
 from pearhead.control_plane import membership_controller
 from pearhead.control_plane.core import CoreProcess
@@ -93,14 +94,14 @@
 
         core.start = start  # type: ignore[method-assign]
 
-    vars(raft)["UNHEARD_MICROS"] = FOR_EVER_MICROS
+    vars(replication)["UNHEARD_MICROS"] = FOR_EVER_MICROS
     fleet.build_core = change
 
 
 @mutation("leader-cut-off", "late answer")
 def silence_unnoticed(fleet: SimFleet) -> None:
     """A leader whom nobody answers leads on, and its orders wait."""
-    vars(raft)["UNHEARD_MICROS"] = FOR_EVER_MICROS
+    vars(replication)["UNHEARD_MICROS"] = FOR_EVER_MICROS
 
 
 @mutation("follower-cut-off", "old configuration")
@@ -125,26 +126,26 @@
 @mutation("leader-cut-off", "disturbed")
 def votes_without_trial(fleet: SimFleet) -> None:
     """Who is cut off raises its term all the time, and the others' when it is back."""
-    real_start = RaftMember._start_election
+    real_start = Elections.start
 
-    def start(self: RaftMember, is_trial: bool, is_handover: bool) -> None:
-        real_start(self, False, is_handover)
+    def start(self: Elections, is_pre_vote: bool, is_transfer: bool) -> None:
+        real_start(self, False, is_transfer)
 
-    RaftMember._start_election = start  # type: ignore[method-assign]
+    Elections.start = start  # type: ignore[method-assign]
 
 
 @mutation("leader-cut-off", "not in step")
 def silent_members_asked_seldom(fleet: SimFleet) -> None:
-    real_send = RaftMember._send_append
+    real_send = LeaderReplication.send_append
 
-    def send(self: RaftMember, follower_identity: str, is_beat: bool = False) -> None:
-        follower = self.followers[follower_identity]
+    def send(self: LeaderReplication, follower_identity: str, is_heartbeat: bool = False) -> None:
+        follower = self.state.followers[follower_identity]
         now_micros = self.clock.now()
         is_silent = now_micros - follower.heard_micros > SECOND
         if not is_silent or now_micros - follower.sent_micros > SELDOM_MICROS:
-            real_send(self, follower_identity, is_beat)
+            real_send(self, follower_identity, is_heartbeat)
 
-    RaftMember._send_append = send  # type: ignore[method-assign]
+    LeaderReplication.send_append = send  # type: ignore[method-assign]
 
 
 @mutation("losses-as-soon-as-settled", "not led in time")
@@ -163,7 +164,7 @@
     real_care = MembershipController._care_once
 
     async def leave(self: MembershipController) -> None:
-        self.raft.hand_over()
+        self.raft.transfer_leadership()
 
     def target(self: MembershipController) -> int:
         members = self.raft.members()
@@ -197,21 +198,21 @@
 def asked_epochs_adopted(fleet: SimFleet) -> None:
     """A refused trial vote answers with the epoch that was asked, and the asker adopts it."""
 
-    def answer(self: RaftMember, address: str, ask: VoteAsk, is_granted: bool) -> None:
-        epoch = ask.epoch if ask.trial and not is_granted else self.epoch
-        result = VoteResult(epoch=epoch, granted=is_granted, trial=ask.trial, asked=ask.epoch)
-        self.tell(address, "vote_result", result)
+    def answer(self: Elections, address: str, ask: VoteAsk, is_granted: bool) -> None:
+        term = ask.epoch if ask.trial and not is_granted else self.state.term
+        result = VoteResult(epoch=term, granted=is_granted, trial=ask.trial, asked=ask.epoch)
+        self.send(address, "vote_result", result)
 
-    RaftMember._answer_vote = answer  # type: ignore[method-assign]
+    Elections.answer = answer  # type: ignore[method-assign]
 
 
 @mutation("promotion-known-to-one-alone", "not led in time")
 def votes_by_own_list(fleet: SimFleet) -> None:
     """A member whose log lacks a promotion does not answer the promoted one."""
-    real_take = RaftMember.take_vote_ask
+    real_take = Elections.take_vote_ask
 
-    def take(self: RaftMember, identity: str, address: str, ask: VoteAsk) -> None:
-        if identity in self.voters():
+    def take(self: Elections, identity: str, address: str, ask: VoteAsk) -> None:
+        if identity in self.state.log.membership().voters:
             real_take(self, identity, address, ask)
 
-    RaftMember.take_vote_ask = take  # type: ignore[method-assign]
+    Elections.take_vote_ask = take  # type: ignore[method-assign]
--- a/src/pearhead/testbed/simulator/control_scenarios.py
+++ b/src/pearhead/testbed/simulator/control_scenarios.py
@@ -158,7 +158,7 @@
 
     async def _return(self, victim: str, pairs: list[tuple[str, str]]) -> None:
         leader = self.fleet.leader()
-        epoch = self.fleet.cores[leader].raft.epoch if leader else 0
+        epoch = self.fleet.cores[leader].raft.term if leader else 0
         commit_index = self.fleet.cores[leader].raft.commit_index if leader else 0
         if leader in ("", victim):
             self.breach("not led in time", f"{leader or 'nobody'} leads while {victim} is cut off")
@@ -176,7 +176,7 @@
             self.breach("not in step", f"{victim} acknowledges no order")
         await pause(self.world, UNDISTURBED_MICROS)
         now_leader = self.fleet.leader()
-        now_epoch = self.fleet.cores[now_leader].raft.epoch if now_leader else 0
+        now_epoch = self.fleet.cores[now_leader].raft.term if now_leader else 0
         if (now_leader, now_epoch) != (leader, epoch):
             self.breach("disturbed", f"{leader} led in {epoch}, {now_leader} in {now_epoch} since {victim} is back")
 
@@ -278,7 +278,7 @@
     taken = operators.taken()
     if first is None or len(taken) < round_count:
         day.breach("not led in time", f"only {len(taken)} of {round_count} rounds had a winner")
-    if not all(core.raft.base_index for core in day.fleet.cores.values()):
+    if not all(core.raft.log.base_index for core in day.fleet.cores.values()):
         day.breach("not led in time", "no log was ever cut")
     for change in taken:
         await operators.repeat_at_all(change)
--- a/src/pearhead/testbed/simulator/fleet.py
+++ b/src/pearhead/testbed/simulator/fleet.py
@@ -349,7 +349,7 @@
     def leader(self) -> str:
         """The core that leads the highest epoch, if any."""
         leaders = [
-            (self.cores[n].raft.epoch, n)
+            (self.cores[n].raft.term, n)
             for n in self.live_cores()
             if hasattr(self.cores[n], "raft") and self.cores[n].raft.is_leader()
         ]
--- a/src/pearhead/testbed/simulator/scenarios.py
+++ b/src/pearhead/testbed/simulator/scenarios.py
@@ -700,7 +700,7 @@
         if number % 60 == 0:
             await pause(fleet.world, 200 * MILLI)
     fleet.start(behind)
-    if fleet.cores[fleet.leader()].raft.base_index == 0:
+    if fleet.cores[fleet.leader()].raft.log.base_index == 0:
         fleet.ledger.breaches.append("no log was ever cut")
     await fleet.until(
         lambda: (
@@ -734,12 +734,12 @@
         30 * SECOND,
     )
     leader = fleet.leader()
-    epoch = fleet.cores[leader].raft.epoch
+    epoch = fleet.cores[leader].raft.term
     fleet.start(gone)
     await pause(fleet.world, 6 * SECOND)
     raft = fleet.cores[fleet.leader()].raft
-    if gone_identity in raft.voters() or raft.epoch != epoch:
-        fleet.ledger.breaches.append(f"the old disk had a say: epoch {epoch} to {raft.epoch}")
+    if gone_identity in raft.voters() or raft.term != epoch:
+        fleet.ledger.breaches.append(f"the old disk had a say: epoch {epoch} to {raft.term}")
     await settle(fleet)
 
 
--- a/tests/raft_model.py
+++ b/tests/raft_model.py
@@ -24,7 +24,9 @@
 from google.protobuf.message import Message
 from result import Ok
 
-from pearhead.consensus.raft import KIND_MEMBERS, TICK_MICROS, Proposal, RaftMember
+from pearhead.consensus.log import KIND_MEMBERS
+from pearhead.consensus.proposals import Proposal
+from pearhead.consensus.raft import TICK_MICROS, RaftMember
 from pearhead.consensus.wal import Wal, WalCorruptError, read_record
 from pearhead.rpc.wire_pb2 import AppendResult, DigestResult, Entry, LogRecord, Mark, Member, Members, VoteResult
 from pearhead.runtime.clock import MILLI, SECOND
@@ -416,8 +418,8 @@
         place.disk.is_instant = False
         place.member = member
         place.checked_entries, place.checked_commit, place.led_epoch = [], member.commit_index, 0
-        member._put_off_election()
-        member.crew.start(member._flush_forever())
+        member.timer.reset()
+        member.crew.start(member.writer.run())
         self._tick_later(place, member)
         await self.settle()
 
@@ -427,7 +429,7 @@
         def tick() -> None:
             self._tick_later(place, member)
             try:
-                member._tick()
+                member.tick()
             except Exception as fault:  # noqa: BLE001 - the product's task would end with it
                 self.fail("task", f"{place.address} ticks: {fault!r}")
 
@@ -629,7 +631,7 @@
         leader = self._leader(chance)
         if leader is not None:
             self.note(f"{leader.identity} hands over")
-            leader.hand_over()
+            leader.transfer_leadership()
 
     async def _step_wipe(self, chance: int) -> None:
         place = self._place(chance)
@@ -717,31 +719,31 @@
         if member.crew.faults:
             self.fail("task", f"{place.address}: {member.crew.faults[0]!r}")
         self._check_log(place, member)
-        if member.is_leader() and member.epoch != place.led_epoch:
-            place.led_epoch = member.epoch
+        if member.is_leader() and member.term != place.led_epoch:
+            place.led_epoch = member.term
             self._check_election(place, member)
         if member.commit_index > place.checked_commit:
             self._check_commits(place, member)
 
     def _check_log(self, place: Place, member: RaftMember) -> None:
         """Log matching: an index and an epoch name one entry, and one entry before it."""
-        if is_same(member.entries, place.checked_entries):
+        if is_same(member.log.entries, place.checked_entries):
             return
-        position = len(member.entries)
-        shift = member.base_index + 1 - (place.checked_entries[0].index if place.checked_entries else 0)
+        position = len(member.log.entries)
+        shift = member.log.base_index + 1 - (place.checked_entries[0].index if place.checked_entries else 0)
         while position:
             checked_position = position - 1 + shift
-            entry = member.entries[position - 1]
+            entry = member.log.entries[position - 1]
             if 0 <= checked_position < len(place.checked_entries):
                 if place.checked_entries[checked_position] is entry:
                     break
             position -= 1
-        for entry in member.entries[position:]:
+        for entry in member.log.entries[position:]:
             self._check_entry(place, member, entry)
-        place.checked_entries = list(member.entries)
+        place.checked_entries = list(member.log.entries)
 
     def _check_entry(self, place: Place, member: RaftMember, entry: Entry) -> None:
-        link = (member.epoch_at(entry.index - 1), entry.kind, entry.payload)
+        link = (member.log.term_at(entry.index - 1), entry.kind, entry.payload)
         known_link = self.links.get((entry.index, entry.epoch))
         if known_link is None:
             self.links[(entry.index, entry.epoch)] = link
@@ -754,7 +756,7 @@
         """A change follows a committed membership, and no quorum of the one misses one of the other."""
         if entry.index == 1:
             return
-        earlier = member.membership_at(entry.index - 1)
+        earlier = member.log.membership_at(entry.index - 1)
         previous_index, previous = earlier.index, earlier.members
         if member.is_leader() and previous_index > member.commit_index:
             self.fail("quorums", f"{place.address} changes members at {entry.index} upon uncommitted {previous_index}")
@@ -767,23 +769,25 @@
     def _check_election(self, place: Place, member: RaftMember) -> None:
         """One leader an epoch, chosen by a quorum, with all that was committed in earlier epochs."""
         self.counts["leaders"] += 1
-        known_leader = self.leaders.setdefault(member.epoch, member.identity)
+        known_leader = self.leaders.setdefault(member.term, member.identity)
         if known_leader != member.identity:
-            self.fail("election", f"epoch {member.epoch} is led by {known_leader} and {member.identity}")
+            self.fail("election", f"epoch {member.term} is led by {known_leader} and {member.identity}")
         # Its first entry may have been a change: it was chosen by what held before its own entries.
-        own_first = next((e.index for e in member.entries if e.epoch == member.epoch), member.last_index() + 1)
-        sets = voter_sets(member.membership_at(own_first - 1).members)
-        if not is_quorum(member.granted_by, sets):
-            self.fail("election", f"{member.identity} leads {member.epoch} by {sorted(member.granted_by)} of {sets}")
+        own_first = next((e.index for e in member.log.entries if e.epoch == member.term), member.last_index() + 1)
+        sets = voter_sets(member.log.membership_at(own_first - 1).members)
+        if not is_quorum(member.elections.granted_by, sets):
+            self.fail(
+                "election", f"{member.identity} leads {member.term} by {sorted(member.elections.granted_by)} of {sets}"
+            )
         for index, committed in self.committed.items():
-            if committed.by_epoch < member.epoch:
+            if committed.by_epoch < member.term:
                 self._check_complete(member, index, committed)
 
     def _check_complete(self, member: RaftMember, index: int, committed: Committed) -> None:
-        if index > member.base_index and member.epoch_at(index) != committed.epoch:
+        if index > member.log.base_index and member.log.term_at(index) != committed.epoch:
             self.fail(
                 "completeness",
-                f"{member.identity} leads {member.epoch} without {index} of epoch {committed.epoch}, "
+                f"{member.identity} leads {member.term} without {index} of epoch {committed.epoch}, "
                 f"committed in {committed.by_epoch}",
             )
 
@@ -795,12 +799,12 @@
             known = self.committed.get(index)
             if known is None:
                 self._check_first_commit(member, entry)
-                self.committed[index] = Committed(entry.epoch, entry.kind, entry.payload, member.epoch)
+                self.committed[index] = Committed(entry.epoch, entry.kind, entry.payload, member.term)
             elif (known.epoch, known.payload) != (entry.epoch, entry.payload):
                 self.fail("state machine", f"{place.address} commits {entry.epoch} at {index}, others {known.epoch}")
         is_counted = member.is_leader() and place.checked_commit < member.commit_index
-        if is_counted and member.epoch_at(member.commit_index) != member.epoch:
-            self.fail("old epoch", f"{member.identity} leads {member.epoch}, commits up to {member.commit_index}")
+        if is_counted and member.log.term_at(member.commit_index) != member.term:
+            self.fail("old epoch", f"{member.identity} leads {member.term}, commits up to {member.commit_index}")
         place.checked_commit = member.commit_index
 
     def _check_first_commit(self, member: RaftMember, entry: Entry) -> None:
@@ -811,10 +815,10 @@
         sets = voter_sets(member.members())
         if member.is_leader() and not is_quorum(holders, sets):
             self.fail("durability", f"{member.identity} commits {entry.index}, synced by {sorted(holders)} of {sets}")
-        committed = Committed(entry.epoch, entry.kind, entry.payload, member.epoch)
+        committed = Committed(entry.epoch, entry.kind, entry.payload, member.term)
         for place in self._up():
             other = place.member
-            if other is not None and other.is_leader() and other.epoch > member.epoch:
+            if other is not None and other.is_leader() and other.term > member.term:
                 self._check_complete(other, entry.index, committed)
 
     def _check_told(self, place: Place, member: RaftMember, address: str, body: Message) -> None:
@@ -827,10 +831,10 @@
             if mark.epoch < body.epoch:
                 self.fail("durability", f"{place.address} votes in {body.epoch}, on disk in {mark.epoch}")
         if isinstance(body, AppendResult) and body.success and body.match_index <= member.last_index():
-            epoch = member.epoch_at(body.match_index)
+            epoch = member.log.term_at(body.match_index)
             if not place.disk.holds(body.match_index, epoch):
                 self.fail("durability", f"{place.address} acknowledges {body.match_index} of epoch {epoch} unsynced")
-        if isinstance(body, DigestResult) and member.base_index == body.index:
+        if isinstance(body, DigestResult) and member.log.base_index == body.index:
             if place.disk.digest_index < body.index:
                 self.fail("durability", f"{place.address} acknowledges digest {body.index} unsynced")
 
@@ -915,13 +919,13 @@
     def _settled_leader(self) -> RaftMember | None:
         for place in self._up():
             if place.member is not None and place.member.settled():
-                if place.member.handover_deadline is None and not place.member.disk_full:
+                if not place.member.transfer.is_under_way() and not place.member.disk_full:
                     return place.member
         return None
 
     def _states(self) -> str:
         return "; ".join(
-            f"{m.identity} {m.role} epoch {m.epoch} last {m.epoch_at(m.last_index())}/{m.last_index()} "
+            f"{m.identity} {m.role} epoch {m.term} last {m.log.term_at(m.last_index())}/{m.last_index()} "
             f"commit {m.commit_index} voters {sorted(m.voters())}"
             for m in (p.member for p in self._up())
             if m is not None
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -266,7 +266,7 @@
 
         async def counted_sync() -> None:
             core = fleet.cores[name]
-            if hasattr(core, "raft") and core.raft.taking_over:
+            if hasattr(core, "raft") and core.raft.is_installing_snapshot:
                 left[0] -= 1
                 if left[0] < 0:
                     fleet.kill(name, loses_power=True)
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -382,12 +382,12 @@
             random.Random(1),
             crew,
             self.fail,
-            digest_bytes=200_000,
+            snapshot_bytes=200_000,
         )
         await member.recover()
-        await member.found("a:1")
-        crew.start(member._flush_forever())
-        member._become_leader()
+        await member.bootstrap("a:1")
+        crew.start(member.writer.run())
+        member.roles.become_leader()
         filler = "f" * 100_000
         for number in range(1, 61):
             command = change(number - 1, number, whole(source=filler + str(number)))
@@ -399,7 +399,7 @@
         crew.stop()
         # Two digests and one beside them, what leads to the next one, and what came while it was written.
         self.assertLess(disk.most, 900_000)
-        self.assertLess(sum(len(entry.payload) for entry in member.entries), 700_000)
+        self.assertLess(sum(len(entry.payload) for entry in member.log.entries), 700_000)
         recovered = RaftMember(
             "one",
             Wal(disk),
@@ -425,8 +425,8 @@
             self.fail,
         )
         sizes = (3, 2, 5, 1, 1)
-        member.entries = [
+        member.log.entries = [
             Entry(index=index, epoch=1, payload=b"x" * (size << 20)) for index, size in enumerate(sizes, 1)
         ]
-        batches = [[entry.index for entry in member._batch_after(index)] for index in range(6)]
+        batches = [[entry.index for entry in member.replication.batch_after(index)] for index in range(6)]
         self.assertEqual(batches, [[1], [2], [3], [4, 5], [5], []])
--- a/tests/test_change_costs.py
+++ b/tests/test_change_costs.py
@@ -10,7 +10,7 @@
 from typing import Any
 from unittest import mock
 
-from pearhead.consensus.raft import KIND_MEMBERS
+from pearhead.consensus.log import KIND_MEMBERS
 from pearhead.rpc.wire_pb2 import Command
 from pearhead.testbed.capacity.change_costs import Trio, one_route_change, small_change
 
@@ -85,7 +85,7 @@
         play_change = Trio.change
 
         async def walk_and_change(trio: Trio, command: Command) -> None:
-            for entry in reversed(trio.leader.entries):
+            for entry in reversed(trio.leader.log.entries):
                 if entry.kind == KIND_MEMBERS:
                     break
             await play_change(trio, command)
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -10,8 +10,9 @@
 from google.protobuf.message import Message
 from result import Ok
 
+from pearhead.consensus.log import KIND_COMMAND, KIND_MEMBERS
 from pearhead.consensus.membership import Membership, end_joint, make_joint
-from pearhead.consensus.raft import KIND_COMMAND, KIND_MEMBERS, RaftMember
+from pearhead.consensus.raft import RaftMember
 from pearhead.consensus.wal import Wal
 from pearhead.control_plane.fleet import TAKEN_LIMIT, Fleet
 from pearhead.router.command_session import CommandSession
@@ -90,20 +91,18 @@
             Crew("member"),
             lambda reason: None,
         )
-        self.raft.epoch = epoch
+        self.raft.state.term = epoch
         first = Entry(index=1, epoch=1, kind=KIND_MEMBERS, payload=members_of(voters).SerializeToString())
         rest = [Entry(index=2 + n, epoch=e, kind=KIND_COMMAND) for n, e in enumerate(log_epochs)]
-        self.raft.entries = [first, *rest]
-        self.raft._list_memberships()
-        self.raft.durable_index = self.raft.last_index()
+        self.raft.log.replace_entries([first, *rest])
 
     def tell(self, address: str, body_name: str, body: Message) -> None:
         self.told.append((address, body_name, body))
 
     async def flush(self) -> None:
         """Writes what waits, as the member's own task does."""
-        records, self.raft.pending_records = self.raft.pending_records, []
-        callbacks, self.raft.pending_callbacks = self.raft.pending_callbacks, []
+        records, self.raft.writer.pending_records = self.raft.writer.pending_records, []
+        callbacks, self.raft.writer.pending_callbacks = self.raft.writer.pending_callbacks, []
         await self.raft.wal.append(records)
         for callback in callbacks:
             callback()
@@ -116,21 +115,21 @@
         voter.raft.take_vote_ask("b", "b:1", VoteAsk(epoch=9, last_index=2, last_epoch=5, trial=True))
         ((_, _, answer),) = voter.told
         self.assertEqual((answer.granted, answer.epoch, answer.asked), (False, 5, 9))
-        candidate.raft._start_election(is_trial=True, is_handover=False)
+        candidate.raft.elections.start(is_pre_vote=True, is_transfer=False)
         candidate.raft.take_vote_result("a", "a:1", answer)
-        self.assertEqual(candidate.raft.epoch, 8, "an epoch that nobody has was adopted")
+        self.assertEqual(candidate.raft.term, 8, "an epoch that nobody has was adopted")
 
     async def test_a_member_with_the_longer_log_and_the_lower_epoch_adopts_the_others_and_wins(self) -> None:
         short, long = OneMember("b", "abc", epoch=9, log_epochs=[5]), OneMember("a", "abc", epoch=5, log_epochs=[5, 5])
-        long.raft._start_election(is_trial=True, is_handover=False)
+        long.raft.elections.start(is_pre_vote=True, is_transfer=False)
         short.raft.take_vote_ask("a", "a:1", VoteAsk(epoch=6, last_index=3, last_epoch=5, trial=True))
         long.raft.take_vote_result("b", "b:1", short.told[-1][2])
-        self.assertEqual(long.raft.epoch, 9)
-        long.raft._start_election(is_trial=True, is_handover=False)
+        self.assertEqual(long.raft.term, 9)
+        long.raft.elections.start(is_pre_vote=True, is_transfer=False)
         short.raft.take_vote_ask("a", "a:1", long.told[-1][2])
         self.assertTrue(short.told[-1][2].granted)
         long.raft.take_vote_result("b", "b:1", short.told[-1][2])
-        self.assertEqual((long.raft.role, long.raft.epoch), ("candidate", 10), "a majority of trials leads to a vote")
+        self.assertEqual((long.raft.role, long.raft.term), ("candidate", 10), "a majority of trials leads to a vote")
 
     async def test_term_and_log_decide_not_the_voters_own_list(self) -> None:
         voter = OneMember("a", "abx", epoch=5, log_epochs=[5])
@@ -142,16 +141,16 @@
 
     async def test_who_led_lately_or_is_followed_is_not_disturbed_by_one_that_was_let_go(self) -> None:
         voter = OneMember("a", "abc", epoch=5, log_epochs=[5])
-        voter.raft.heard_leader = voter.raft.clock.now()
+        voter.raft.timer.heard_leader_micros = voter.raft.clock.now()
         for is_trial in (True, False):
             voter.raft.take_vote_ask("x", "x:1", VoteAsk(epoch=60, last_index=9, last_epoch=5, trial=is_trial))
-            self.assertEqual((voter.told[-1][2].granted, voter.raft.epoch), (False, 5))
+            self.assertEqual((voter.told[-1][2].granted, voter.raft.term), (False, 5))
 
     async def test_an_answer_for_another_vote_is_not_counted(self) -> None:
         candidate = OneMember("b", "abc", epoch=8, log_epochs=[5])
-        candidate.raft._start_election(is_trial=True, is_handover=False)
+        candidate.raft.elections.start(is_pre_vote=True, is_transfer=False)
         candidate.raft.take_vote_result("a", "a:1", VoteResult(epoch=5, granted=True, trial=True, asked=7))
-        self.assertEqual(candidate.raft.granted_by, {"b"})
+        self.assertEqual(candidate.raft.elections.granted_by, {"b"})
 
 
 class SurvivorsTest(unittest.TestCase):
@@ -218,22 +217,21 @@
         counts = []
         for length in (10, 4_000):
             member = OneMember("a", "abc", epoch=5, log_epochs=[5] * length)
-            member.raft.entries = CountingList(member.raft.entries)
+            member.raft.log.entries = CountingList(member.raft.log.entries)
             for _ in range(100):
                 member.raft.members()
                 member.raft.voters()
                 member.raft.leader_address()
-            counts.append(member.raft.entries.walked)
+            counts.append(member.raft.log.entries.walked)
         self.assertEqual(counts, [0, 0])
 
     async def test_what_is_cut_from_the_log_takes_its_members_along(self) -> None:
         member = OneMember("a", "abc", epoch=5, log_epochs=[5])
         later = Entry(index=3, epoch=5, kind=KIND_MEMBERS, payload=members_of("abcd").SerializeToString())
-        member.raft.entries.append(later)
-        member.raft._note_membership(later)
+        member.raft.log.append(later)
         self.assertEqual(set(member.raft.voters()), set("abcd"))
-        member.raft._cut_from(3)
-        self.assertEqual((set(member.raft.voters()), member.raft.members_index()), (set("abc"), 1))
+        member.raft.log.truncate_from(3)
+        self.assertEqual((set(member.raft.voters()), member.raft.membership().index), (set("abc"), 1))
 
 
 class CountingList(list[Entry]):
@@ -267,23 +265,23 @@
 
     async def test_a_member_that_writes_a_snapshot_is_heard_and_does_not_stand(self) -> None:
         member = OneMember("a", "abc", epoch=5, log_epochs=[5])
-        member.raft.taking_over = True
+        member.raft.state.is_installing_snapshot = True
         member.raft.take_append_ask("b", "b:1", AppendAsk(epoch=5, previous_index=2, previous_epoch=5, round=7))
         answer = member.told[-1][2]
         self.assertEqual((answer.waiting, answer.round, answer.success), (True, 7, False))
-        member.raft.election_deadline = 0
-        member.raft._tick()
+        member.raft.timer.deadline_micros = 0
+        member.raft.tick()
         self.assertEqual(member.raft.role, "follower")
-        member.raft.taking_over = False
-        member.raft.election_deadline = 0
-        member.raft._tick()
+        member.raft.state.is_installing_snapshot = False
+        member.raft.timer.deadline_micros = 0
+        member.raft.tick()
         self.assertEqual(member.raft.role, "candidate")
 
     async def test_a_snapshot_that_fails_its_checksum_is_asked_for_anew(self) -> None:
         member = OneMember("a", "abc", epoch=5, log_epochs=[])
         ask = DigestAsk(epoch=5, index=40, last_epoch=5, offset=0, total=2, chunk=b"ab", checksum=1)
         member.raft.take_digest_ask("b", "b:1", ask)
-        self.assertEqual((member.told[-1][2].next_offset, member.raft.taking_over), (0, False))
+        self.assertEqual((member.told[-1][2].next_offset, member.raft.is_installing_snapshot), (0, False))
 
 
 class Frames:
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -69,11 +69,11 @@
             fleet.freeze(leader)
             await self.led_by_another(fleet, leader, 1.3)
             await pause(fleet.world, 3 * SECOND)
-            epoch = fleet.cores[fleet.leader()].raft.epoch
+            epoch = fleet.cores[fleet.leader()].raft.term
             fleet.wake(leader)
             await pause(fleet.world, SECOND)
             self.assertFalse(fleet.cores[leader].raft.is_leader())
-            self.assertEqual(fleet.cores[fleet.leader()].raft.epoch, epoch, "waking cost a leader")
+            self.assertEqual(fleet.cores[fleet.leader()].raft.term, epoch, "waking cost a leader")
 
         self.play(play)
 
@@ -118,12 +118,12 @@
 
     def test_disks_slow_by_a_factor_of_25_cost_no_leader(self) -> None:
         async def play(fleet: SimFleet, leader: str, others: list[str]) -> None:
-            epoch = fleet.cores[leader].raft.epoch
+            epoch = fleet.cores[leader].raft.term
             for name in [leader, *others]:
                 fleet.world.machine(name).disk.slowness = 50
             for number in range(20):
                 self.assertLess(await seconds_to_apply(fleet, str(number)), 2.0)
-            self.assertEqual(fleet.cores[leader].raft.epoch, epoch)
+            self.assertEqual(fleet.cores[leader].raft.term, epoch)
             for name in [leader, *others]:
                 fleet.world.machine(name).disk.slowness = 1
 
@@ -167,7 +167,7 @@
             for name in [leader, *others]:
                 fleet.set_disk(name, "full", True)
                 raft = fleet.cores[name].raft
-                await raft._keep_digest(raft._build_digest())
+                await raft.snapshots.keep(raft.snapshots.build())
             await pause(fleet.world, 4 * SECOND)
             for name in [leader, *others]:
                 fleet.set_disk(name, "full", False)
--- a/tests/test_raft_model.py
+++ b/tests/test_raft_model.py
@@ -13,8 +13,11 @@
 from hypothesis import strategies as st
 from result import Err, Result
 
+from pearhead.consensus.log import KIND_MEMBERS
 from pearhead.consensus.membership import Membership
-from pearhead.consensus.raft import CALM_MICROS, KIND_MEMBERS, RaftMember
+from pearhead.consensus.persistence import do_nothing
+from pearhead.consensus.raft import RaftMember
+from pearhead.consensus.state import Role
 from pearhead.consensus.wal import Wal
 from pearhead.rpc.wire_pb2 import Entry, LogRecord, Member, Members, VoteAsk, VoteResult
 from pearhead.runtime.clock import MILLI
@@ -50,20 +53,17 @@
 class AskedTermAdopted(RaftMember):
     """Fault A: a refused trial tells the term that was asked, so that the asker adopts a term that nobody has."""
 
-    def take_vote_ask(self, identity: str, address: str, ask: VoteAsk) -> None:
-        is_calm = self.is_leader() or self.clock.now() - self.heard_leader < CALM_MICROS
-        right_tell = self.tell
+    def __init__(self, *arguments: Any, **named: Any) -> None:
+        super().__init__(*arguments, **named)
+        right_send = self.elections.send
 
-        def tell_asked_term(target: str, body_name: str, body: Message) -> None:
+        def send_asked_term(target: str, body_name: str, body: Message) -> None:
+            is_calm = self.is_leader() or self.timer.is_leader_present()
             if isinstance(body, VoteResult) and body.trial and not body.granted and not is_calm:
-                body.epoch = ask.epoch
-            right_tell(target, body_name, body)
+                body.epoch = body.asked
+            right_send(target, body_name, body)
 
-        self.tell = tell_asked_term
-        try:
-            super().take_vote_ask(identity, address, ask)
-        finally:
-            self.tell = right_tell
+        self.elections.send = send_asked_term
 
 
 class StrangersIgnored(RaftMember):
@@ -78,67 +78,96 @@
 class EarlyAcknowledger(RaftMember):
     """Acknowledges before the sync."""
 
-    def _persist(self, records: list[LogRecord], callback: Callable[[], None]) -> None:
-        callback()
-        super()._persist(records, lambda: None)
+    def __init__(self, *arguments: Any, **named: Any) -> None:
+        super().__init__(*arguments, **named)
+        right_persist = self.writer.persist
+
+        def persist(records: list[LogRecord], callback: Callable[[], None]) -> None:
+            callback()
+            right_persist(records, do_nothing)
+
+        self.writer.persist = persist  # type: ignore[method-assign]
 
 
 class TwiceVoter(RaftMember):
     """Forgets whom it voted for."""
 
     def take_vote_ask(self, identity: str, address: str, ask: VoteAsk) -> None:
-        self.voted_for = ""
+        self.state.voted_for = ""
         super().take_vote_ask(identity, address, ask)
 
 
 class OldEpochCommitter(RaftMember):
     """Commits entries of an earlier epoch by counting them (figure 8 of the Raft paper)."""
 
-    counts_all = False
+    def __init__(self, *arguments: Any, **named: Any) -> None:
+        super().__init__(*arguments, **named)
+        self.counts_all = False
+        right_term_at = self.log.term_at
+        right_advance_commit = self.replication.advance_commit
+        right_commit_to = self.applier.commit_to
 
-    def epoch_at(self, index: int) -> int:
-        return self.epoch if self.counts_all else super().epoch_at(index)
+        def term_at(index: int) -> int:
+            return self.term if self.counts_all else right_term_at(index)
 
-    def _advance_commit(self) -> None:
-        self.counts_all = True
-        super()._advance_commit()
-        self.counts_all = False
+        def advance_commit() -> None:
+            self.counts_all = True
+            right_advance_commit()
+            self.counts_all = False
 
-    def _commit_to(self, index: int) -> None:
-        self.counts_all = False
-        super()._commit_to(index)
+        def commit_to(index: int) -> None:
+            self.counts_all = False
+            right_commit_to(index)
+
+        self.log.term_at = term_at  # type: ignore[method-assign]
+        self.replication.advance_commit = advance_commit  # type: ignore[method-assign]
+        self.applier.commit_to = commit_to  # type: ignore[method-assign]
 
 
 class NewSetAlone(RaftMember):
     """Counts a joint change by the new set of voters alone."""
 
-    counts_new_alone = False
+    def __init__(self, *arguments: Any, **named: Any) -> None:
+        super().__init__(*arguments, **named)
+        self.counts_new_alone = False
+        self.right_membership = self.log.membership
+        self.log.membership = self.membership_for_counting  # type: ignore[method-assign]
+        self._break_counting()
 
-    def membership(self) -> Membership:
-        present = super().membership()
+    def membership_for_counting(self) -> Membership:
+        present = self.right_membership()
         if not self.counts_new_alone or not present.is_joint:
             return present
         return Membership(present.index, Members(member=present.members.member))
 
-    def _count_votes(self) -> None:
-        self.counts_new_alone = True
-        try:
-            super()._count_votes()
-        finally:
+    def _break_counting(self) -> None:
+        right_count_votes, right_become_leader = self.elections.count_votes, self.roles.become_leader
+        right_advance_commit, right_commit_to = self.replication.advance_commit, self.applier.commit_to
+
+        def count_votes() -> None:
+            self.counts_new_alone = True
+            try:
+                right_count_votes()
+            finally:
+                self.counts_new_alone = False
+
+        def become_leader() -> None:
             self.counts_new_alone = False
+            right_become_leader()
 
-    def _become_leader(self) -> None:
-        self.counts_new_alone = False
-        super()._become_leader()
+        def advance_commit() -> None:
+            self.counts_new_alone = True
+            right_advance_commit()
+            self.counts_new_alone = False
 
-    def _advance_commit(self) -> None:
-        self.counts_new_alone = True
-        super()._advance_commit()
-        self.counts_new_alone = False
+        def commit_to(index: int) -> None:
+            self.counts_new_alone = False
+            right_commit_to(index)
 
-    def _commit_to(self, index: int) -> None:
-        self.counts_new_alone = False
-        super()._commit_to(index)
+        self.elections.count_votes = count_votes  # type: ignore[method-assign]
+        self.roles.become_leader = become_leader  # type: ignore[method-assign]
+        self.replication.advance_commit = advance_commit  # type: ignore[method-assign]
+        self.applier.commit_to = commit_to  # type: ignore[method-assign]
 
 
 class TwoAtOnce(RaftMember):
@@ -321,25 +350,26 @@
 
         def lead_twice(model: Model) -> None:
             follower = member(model, False)
-            follower.role, follower.granted_by = "leader", {"m1", "m2", "m3"}
+            follower.state.role, follower.elections.granted_by = Role.LEADER, {"m1", "m2", "m3"}
 
         def lead_without_votes(model: Model) -> None:
             follower = member(model, False)
-            follower.role, follower.granted_by, follower.epoch = "leader", {"m1"}, 9
+            follower.state.role, follower.elections.granted_by, follower.state.term = Role.LEADER, {"m1"}, 9
 
         def lead_without_entry(model: Model) -> None:
             follower = member(model, False)
-            follower.role, follower.granted_by, follower.epoch = "leader", {"m1", "m2"}, 9
-            follower.entries.pop()
+            follower.state.role, follower.elections.granted_by, follower.state.term = Role.LEADER, {"m1", "m2"}, 9
+            follower.log.entries.pop()
 
         def change_entry(model: Model) -> None:
             follower = member(model, False)
-            follower.entries[-1] = Entry(index=follower.last_index(), epoch=follower.epoch, kind=1, payload=b"other")
+            last_index = follower.last_index()
+            follower.log.entries[-1] = Entry(index=last_index, epoch=follower.term, kind=1, payload=b"other")
 
         def commit_alone(model: Model) -> None:
             leader = member(model, True)
             leader.propose(b"alone")
-            leader._commit_to(leader.last_index())
+            leader.applier.commit_to(leader.last_index())
 
         def apply_another(model: Model) -> None:
             machine = model.places[0].machine
