consensus: docstrings for the write-ahead log

Cause: wal.py was the last module of consensus/ whose public items had none. It leaves the list of files without docstrings (144 are left; test_rules). No code changed. test_rules, test_wal and test_wal_power_loss pass; ruff and mypy are clean.

--- a/src/pearhead/consensus/wal.py
+++ b/src/pearhead/consensus/wal.py
@@ -32,6 +32,8 @@
 
 @dataclass
 class Recovered:
+    """What the files held: the last term and vote, the latest snapshot, and the entries after it."""
+
     mark: Mark = field(default_factory=Mark)
     digest: DigestFile | None = None
     entries: list[Entry] = field(default_factory=list)
@@ -39,6 +41,8 @@
 
 @dataclass
 class FoundRecord:
+    """A record read from a segment, with its place in its batch and where it ends."""
+
     record: LogRecord
     batch_number: int
     left_count: int
@@ -46,12 +50,14 @@
 
 
 def seal_record(record: LogRecord, batch_number: int, left_count: int = 0) -> bytes:
+    """The bytes of one record, after which so many others of its batch follow."""
     payload_bytes = record.SerializeToString()
     check_sum = zlib.crc32(struct.pack(">QI", batch_number, left_count) + payload_bytes)
     return HEADER.pack(MAGIC, len(payload_bytes), check_sum, batch_number, left_count) + payload_bytes
 
 
 def seal_batch(records: list[LogRecord], batch_number: int) -> bytes:
+    """The bytes of all records of one batch."""
     return b"".join(
         seal_record(record, batch_number, len(records) - position - 1) for position, record in enumerate(records)
     )
@@ -72,14 +78,18 @@
 
 
 def segment_name(segment_number: int) -> str:
+    """The file name of a segment."""
     return f"log-{segment_number:012d}"
 
 
 def digest_name(index: int) -> str:
+    """The file name of the snapshot whose last entry has this index."""
     return f"digest-{index:020d}"
 
 
 class Wal:
+    """The write-ahead log of one member: it is recovered once, then written batch by batch."""
+
     def __init__(self, disk: Disk) -> None:
         self.disk = disk
         self.segment_number = 0
@@ -95,6 +105,7 @@
         self.write_lock = asyncio.Lock()
 
     async def recover(self) -> Recovered:
+        """Reads all files, cuts a torn tail off, and raises WalCorruptError at damage before it."""
         recovered = Recovered()
         file_names = self.disk.names()
         digest_names = [n for n in file_names if DIGEST_PATTERN.fullmatch(n)]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,7 +16,7 @@
 
 SOURCE = Path(__file__).resolve().parent.parent / "src" / "pearhead"
 # Lower it with each file that becomes clean.
-MOST_WITHOUT_DOCSTRINGS = 145
+MOST_WITHOUT_DOCSTRINGS = 144
 DECIDING = (
     "runtime",
     "rpc",
