--- a/src/pearhead/consensus/raft.py
+++ b/src/pearhead/consensus/raft.py
@@ -25,7 +25,7 @@
 from pearhead.consensus.roles import RoleChanges
 from pearhead.consensus.snapshot_receiver import SnapshotReceiver
 from pearhead.consensus.snapshot_sender import SnapshotSender
-from pearhead.consensus.snapshot_store import SnapshotLimits, SnapshotStore
+from pearhead.consensus.snapshot_store import DEFAULT_LIMITS, SnapshotLimits, SnapshotStore
 from pearhead.consensus.state import RaftState, Role, Send, StateMachine
 from pearhead.consensus.wal import Wal
 from pearhead.rpc.wire_pb2 import (
@@ -63,9 +63,7 @@
         random_source: random.Random,
         crew: Crew,
         fail: Callable[[str], None],
-        snapshot_every: int = 4_096,
-        kept_entries: int = 1_024,
-        snapshot_bytes: int = 8 * 1024 * 1024,
+        snapshot_limits: SnapshotLimits = DEFAULT_LIMITS,
     ) -> None:
         self.identity = identity
         self.wal = wal
@@ -81,10 +79,9 @@
         self.transfer = LeadershipTransfer(self.state, clock, send)
         self.reads = ReadConfirmations(self.state)
         self.proposals = PendingProposals()
-        limits = SnapshotLimits(snapshot_every, kept_entries, snapshot_bytes)
-        self.snapshots = SnapshotStore(self.state, machine, wal, self.writer, crew, limits)
+        self.snapshots = SnapshotStore(self.state, machine, wal, self.writer, crew, snapshot_limits)
         self.applier = Applier(self.state, machine, self.proposals, self.snapshots)
-        self.snapshot_receiver = SnapshotReceiver(self.state, self.snapshots, self.writer, self.roles, send)
+        self.snapshot_receiver = SnapshotReceiver(self.state, self.snapshots, self.roles, send)
         self.append_receiver = AppendReceiver(self.state, self.writer, self.roles, self.applier, send)
         self.replication = LeaderReplication(
             self.state,
--- a/src/pearhead/consensus/snapshot_receiver.py
+++ b/src/pearhead/consensus/snapshot_receiver.py
@@ -6,11 +6,10 @@
 import zlib
 from dataclasses import dataclass, field
 
-from pearhead.consensus.persistence import LogWriter
 from pearhead.consensus.roles import RoleChanges
 from pearhead.consensus.snapshot_store import SnapshotStore
 from pearhead.consensus.state import RaftState, Send
-from pearhead.rpc.wire_pb2 import DigestAsk, DigestFile, DigestResult, Entry
+from pearhead.rpc.wire_pb2 import DigestAsk, DigestFile, DigestResult
 
 LOGGER = logging.getLogger("pearhead")
 
@@ -55,12 +54,9 @@
 class SnapshotReceiver:
     """Receives snapshots from the leader."""
 
-    def __init__(
-        self, state: RaftState, store: SnapshotStore, writer: LogWriter, roles: RoleChanges, send: Send
-    ) -> None:
+    def __init__(self, state: RaftState, store: SnapshotStore, roles: RoleChanges, send: Send) -> None:
         self.state = state
         self.store = store
-        self.writer = writer
         self.roles = roles
         self.send = send
         self.incoming = IncomingSnapshot()
@@ -82,8 +78,7 @@
             result.next_offset = 0
             self._answer(address, result)
         elif not self.store.is_busy:
-            self.store.is_busy = self.state.is_installing_snapshot = True
-            self.store.crew.start(self._install(self._whole_snapshot(ask), address, result))
+            self.store.start_install(self._whole_snapshot(ask), lambda: self._answer(address, result))
 
     def _answer(self, address: str, result: DigestResult) -> None:
         self.send(address, "digest_result", result)
@@ -92,25 +87,3 @@
         snapshot = DigestFile(index=ask.index, epoch=ask.last_epoch, state=bytes(self.incoming.state))
         snapshot.members.CopyFrom(ask.members)
         return snapshot
-
-    async def _install(self, snapshot: DigestFile, address: str, result: DigestResult) -> None:
-        try:
-            # What waits to be written goes first; nothing new is taken meanwhile.
-            await self.writer.drain()
-            kept_entries = self._entries_after(snapshot)
-            await self.store.wal.reset_to(snapshot, kept_entries)
-            if snapshot.index > self.state.commit_index:
-                self.store.load(snapshot)
-                self.state.log.replace_entries(kept_entries)
-            self._answer(address, result)
-        except OSError as disk_error:
-            self.writer.take_snapshot_error(disk_error)
-        finally:
-            self.store.is_busy = self.state.is_installing_snapshot = False
-
-    def _entries_after(self, snapshot: DigestFile) -> list[Entry]:
-        """The entries that follow the snapshot, if this log holds its last entry."""
-        log = self.state.log
-        if snapshot.index > log.last_index() or log.term_at(snapshot.index) != snapshot.epoch:
-            return []
-        return log.entries[snapshot.index - log.base_index :]
--- a/src/pearhead/consensus/snapshot_store.py
+++ b/src/pearhead/consensus/snapshot_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from pearhead.consensus.persistence import LogWriter
@@ -15,9 +16,12 @@
 class SnapshotLimits:
     """When a snapshot is due, by entries or by bytes, and how many entries stay in the log behind it."""
 
-    every_entries: int
-    kept_entries: int
-    every_bytes: int
+    every_entries: int = 4_096
+    kept_entries: int = 1_024
+    every_bytes: int = 8 * 1024 * 1024
+
+
+DEFAULT_LIMITS = SnapshotLimits()
 
 
 class SnapshotStore:
@@ -91,6 +95,33 @@
             index -= 1
         return index
 
+    def start_install(self, snapshot: DigestFile, on_installed: Callable[[], None]) -> None:
+        """Begins to replace the log by a snapshot from the leader; the callback runs when that is on disk."""
+        self.is_busy = self.state.is_installing_snapshot = True
+        self.crew.start(self._install(snapshot, on_installed))
+
+    async def _install(self, snapshot: DigestFile, on_installed: Callable[[], None]) -> None:
+        try:
+            # What waits to be written goes first; nothing new is taken meanwhile.
+            await self.writer.drain()
+            kept_entries = self._entries_after(snapshot)
+            await self.wal.reset_to(snapshot, kept_entries)
+            if snapshot.index > self.state.commit_index:
+                self.load(snapshot)
+                self.state.log.replace_entries(kept_entries)
+            on_installed()
+        except OSError as disk_error:
+            self.writer.take_snapshot_error(disk_error)
+        finally:
+            self.is_busy = self.state.is_installing_snapshot = False
+
+    def _entries_after(self, snapshot: DigestFile) -> list[Entry]:
+        """The entries that follow the snapshot, if this log holds its last entry."""
+        log = self.state.log
+        if snapshot.index > log.last_index() or log.term_at(snapshot.index) != snapshot.epoch:
+            return []
+        return log.entries[snapshot.index - log.base_index :]
+
     def load(self, snapshot: DigestFile) -> None:
         """Replaces the state machine and the log by a snapshot that is on disk."""
         self.machine.load_digest(snapshot.state)
--- a/src/pearhead/control_plane/core.py
+++ b/src/pearhead/control_plane/core.py
@@ -16,6 +16,7 @@
 from pearhead.config.description import read_description_gently
 from pearhead.config.startup import Startup
 from pearhead.consensus.raft import RaftMember
+from pearhead.consensus.snapshot_store import SnapshotLimits
 from pearhead.consensus.wal import Wal
 from pearhead.control_plane.change import ChangeChecker, hash_change, to_json, to_route
 from pearhead.control_plane.fleet import Fleet, UnknownCommandError, to_body
@@ -122,9 +123,7 @@
             self.chance,
             self.crew,
             self.fail,
-            self.startup.digestEvery,
-            self.startup.keptEntries,
-            self.startup.digest_bytes,
+            SnapshotLimits(self.startup.digestEvery, self.startup.keptEntries, self.startup.digest_bytes),
         )
         await self.raft.recover()
         self.membership = MembershipController(
--- a/src/pearhead/testbed/capacity/change_costs.py
+++ b/src/pearhead/testbed/capacity/change_costs.py
@@ -110,16 +110,16 @@
 class Trio:
     """Three members that agree, the first of them leading."""
 
-    def __init__(self, **limits: int) -> None:
+    def __init__(self) -> None:
         self.crew = Crew("change_costs")
         self.clock = StepClock()
         self.disks = [CountingDisk() for _ in range(MEMBER_COUNT)]
         self.fleets = [Fleet() for _ in range(MEMBER_COUNT)]
         self.told_bytes = 0
         self.told_count = 0
-        self.members = [self._build_member(number, limits) for number in range(MEMBER_COUNT)]
+        self.members = [self._build_member(number) for number in range(MEMBER_COUNT)]
 
-    def _build_member(self, number: int, limits: dict[str, int]) -> RaftMember:
+    def _build_member(self, number: int) -> RaftMember:
         def tell(address: str, body_name: str, body: Message) -> None:
             body_bytes = body.SerializeToString()
             self.told_bytes += len(body_bytes)
@@ -133,7 +133,7 @@
 
         wal = Wal(self.disks[number])
         fleet, chance = self.fleets[number], random.Random(number)
-        return RaftMember(str(number), wal, fleet, tell, self.clock, chance, self.crew, fail, **limits)
+        return RaftMember(str(number), wal, fleet, tell, self.clock, chance, self.crew, fail)
 
     @property
     def leader(self) -> RaftMember:
--- a/tests/raft_model.py
+++ b/tests/raft_model.py
@@ -27,6 +27,7 @@
 from pearhead.consensus.log import KIND_MEMBERS
 from pearhead.consensus.proposals import Proposal
 from pearhead.consensus.raft import TICK_MICROS, RaftMember
+from pearhead.consensus.snapshot_store import SnapshotLimits
 from pearhead.consensus.wal import Wal, WalCorruptError, read_record
 from pearhead.rpc.wire_pb2 import AppendResult, DigestResult, Entry, LogRecord, Mark, Member, Members, VoteResult
 from pearhead.runtime.clock import MILLI, SECOND
@@ -406,8 +407,7 @@
             random.Random(self.chance.getrandbits(64)),
             Crew(place.address),
             lambda reason: self.fail("disk", reason),
-            DIGEST_EVERY,
-            KEPT_ENTRIES,
+            SnapshotLimits(DIGEST_EVERY, KEPT_ENTRIES),
         )
         place.disk.is_instant = True
         try:
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -15,6 +15,7 @@
 from pearhead.config.startup import Startup
 from pearhead.config.view import ROUTE_SECTIONS, View
 from pearhead.consensus.raft import RaftMember
+from pearhead.consensus.snapshot_store import SnapshotLimits
 from pearhead.consensus.wal import Wal
 from pearhead.control_plane.change import ChangeChecker, to_item, to_json
 from pearhead.control_plane.core import CoreProcess
@@ -382,7 +383,7 @@
             random.Random(1),
             crew,
             self.fail,
-            snapshot_bytes=200_000,
+            SnapshotLimits(every_bytes=200_000),
         )
         await member.recover()
         await member.bootstrap("a:1")
