--- a/src/pearhead/control_plane/core.py
+++ b/src/pearhead/control_plane/core.py
@@ -16,6 +16,7 @@
 from pearhead.config.description import read_description_gently
 from pearhead.config.startup import Startup
 from pearhead.consensus.raft import RaftMember
+from pearhead.consensus.snapshot_store import SnapshotLimits
 from pearhead.consensus.wal import Wal
 from pearhead.control_plane.change import ChangeChecker, hash_change, to_json, to_route
 from pearhead.control_plane.fleet import Fleet, UnknownCommandError, to_body
@@ -122,9 +123,7 @@
             self.chance,
             self.crew,
             self.fail,
-            self.startup.digestEvery,
-            self.startup.keptEntries,
-            self.startup.digest_bytes,
+            SnapshotLimits(self.startup.digestEvery, self.startup.keptEntries, self.startup.digest_bytes),
         )
         await self.raft.recover()
         self.membership = MembershipController(
@@ -138,8 +137,8 @@
             self.fail,
         )
         self.view_service = ViewService(self.identity, self.raft, self.fleet)
-        self.raft.leadership_watchers.append(self._take_leadership)
-        self.raft.members_watcher = self._take_members
+        self.raft.watch_leadership(self._take_leadership)
+        self.raft.watch_members(self._take_members)
         self.serializer = Serializer(
             self, self.courier, self.directory, self.clock, self.crew, self.startup.tableLifetimeMicros
         )
@@ -264,7 +263,7 @@
         return self.fleet.revisions_of(f"{owner}/{line}")
 
     def position(self) -> tuple[int, int]:
-        return self.raft.epoch, self.raft.applied_index
+        return self.raft.term, self.raft.applied_index
 
     # ---- commands --------------------------------------------------------------------------------
 
@@ -404,12 +403,12 @@
         return {
             "kind": "core",
             "area": self.startup.area,
-            "digestIndex": self.raft.digest_index,
+            "digestIndex": self.raft.snapshot_index,
             "holds": self.fleet.holds,
             "identity": self.identity,
             "address": self.startup.address,
             "role": self.raft.role,
-            "epoch": self.raft.epoch,
+            "epoch": self.raft.term,
             "leader": self.raft.leader_address(),
             "commitIndex": self.raft.commit_index,
             "lastIndex": self.raft.last_index(),
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -24,8 +24,9 @@
 from tornado.httpserver import HTTPServer  # noqa: E402
 
 from pearhead.config.startup import Startup  # noqa: E402
+from pearhead.consensus.state import Role  # noqa: E402
 from pearhead.control_plane.core import CoreProcess  # noqa: E402
-from pearhead.control_plane.metrics import ROLES, CoreCollector  # noqa: E402
+from pearhead.control_plane.metrics import CoreCollector  # noqa: E402
 from pearhead.router.drain import DrainSchedule, DrainState, FrontDrain
 from pearhead.router.edge import RequestEdge  # noqa: E402
 from pearhead.router.front import build_front  # noqa: E402
@@ -174,12 +175,12 @@
     def test_role_term_log_and_members_are_told(self) -> None:
         members = Members(member=[Member(identity="a", voter=True), Member(identity="b")])
         raft = SimpleNamespace(
-            role="candidate",
-            epoch=3,
+            role=Role.CANDIDATE,
+            term=3,
             commit_index=10,
             applied_index=9,
-            election_count=2,
-            flush_started=99 * SECOND,
+            elections=SimpleNamespace(election_count=2),
+            writer=SimpleNamespace(flush_started=99 * SECOND),
             disk_full=False,
             last_index=lambda: 11,
             members=lambda: members,
@@ -189,11 +190,13 @@
         courier = Courier("a", "a:1", bench, bench)
         core = cast(CoreProcess, SimpleNamespace(raft=raft, clock=bench, courier=courier))
         found = read(build_registry([CoreCollector(core)]))
-        self.assertEqual({role: found[f"raft_role{{{role}}}"] for role in ROLES}, {r: r == "candidate" for r in ROLES})
+        self.assertEqual(
+            {role: found[f"raft_role{{{role}}}"] for role in Role}, {role: role == "candidate" for role in Role}
+        )
         expected = {"raft_term": 3, "raft_commit_index": 10, "raft_applied_index": 9, "raft_last_index": 11}
         expected |= {"raft_members": 2, "raft_voters": 1, "raft_elections_total": 2, "raft_flush_seconds": 1}
         self.assertEqual({name: found[name] for name in expected}, expected)
-        raft.flush_started = None
+        raft.writer.flush_started = None
         self.assertEqual(read(build_registry([CoreCollector(core)]))["raft_flush_seconds"], 0)
 
 
