Move the tests of 24 source files into tests/

Cause: 24 files under src/pearhead held unittest classes from the withdrawn rule "one type and its tests a file", so that the daemons imported unittest.

The trees of 23 of the 24 test classes are the same as before; AdmissionTest differs in its four function-level imports alone, which now stand at the head of its file. Apart from imports that nothing else used, no product line changed.

Ruled out: moving runtime/bench.py, as testbed/capacity/part_costs.py and hollow_nodes.py import it; it imports no unittest.

Tests discovered by nose2: 471 before (46 of them in src), 471 after (0 in src); the sorted lists of class and method names are the same (diff). Run: the 24 new files, test_rules and test_logs by nose2, passed; ruff and mypy clean. The whole suite was not run.

Conclusion: what is shipped holds no tests any more.

--- a/src/pearhead/config/checked.py
+++ b/src/pearhead/config/checked.py
@@ -5,7 +5,6 @@
 import dataclasses
 import functools
 import typing
-import unittest
 from typing import Any, TypeVar
 
 import dacite
@@ -113,32 +112,3 @@
         if typing.get_args(hint):
             wanted = str(hint)
         faults.append(f"{path}: must be {wanted}, not {type(value).__name__}")
-
-
-@dataclasses.dataclass
-class _Inner:
-    number: int
-
-
-@dataclasses.dataclass
-class _Outer:
-    name: str
-    inners: list[_Inner]
-    tags: list[str] = dataclasses.field(default_factory=list)
-
-
-class ReadCheckedTest(unittest.TestCase):
-    def test_every_fault_is_listed_with_its_path(self) -> None:
-        data = {"inners": [{"number": 1}, {"number": "2", "x": 0}, 5], "tags": ["a", 3], "more": 1}
-        self.assertEqual(
-            read_checked(_Outer, data).unwrap_err(),
-            [
-                "more: unknown field",
-                "name: missing",
-                "inners[1].x: unknown field",
-                "inners[1].number: must be int, not str",
-                "inners[2]: must be an object",
-                "tags: must be list[str], not list",
-            ],
-        )
-        self.assertEqual(read_checked(_Outer, {"name": "n", "inners": []}).unwrap(), _Outer("n", []))
--- a/src/pearhead/config/description.py
+++ b/src/pearhead/config/description.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
-import unittest
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -311,43 +309,3 @@
             faults.append(f"{path}[{position}].name: {name!r} is named twice")
         seen_names.add(name)
     return seen_names
-
-
-async def _no_breath() -> None:
-    return None
-
-
-class DescriptionTest(unittest.TestCase):
-    def test_every_fault_of_a_file_is_told(self) -> None:
-        data = {
-            "lines": [{"name": "a", "weights": "w"}, {"name": "a", "weights": ""}],
-            "services": [{"name": "s", "role": "model"}],
-            "tenants": [{"name": "t", "keyHashes": ["0"]}],
-            "entries": [
-                {"name": "e", "line": "b", "tenants": [], "kinds": ["k"], "service": "s"},
-                {"name": "f", "line": "a", "tenants": ["u"], "kinds": [], "service": "z", "concurrency": 0},
-            ],
-        }
-        faults = read_description(json.dumps(data).encode()).unwrap_err()
-        self.assertEqual(
-            sorted(f.split(":")[0] for f in faults),
-            sorted(
-                [
-                    "lines[1].name",
-                    "lines[1].weights",
-                    "tenants[0].keyHashes",
-                    "entries[0].line",
-                    "entries[0].tenants",
-                    "entries[1].kinds",
-                    "entries[1].tenants",
-                    "entries[1].service",
-                    "entries[1].concurrency",
-                ]
-            ),
-        )
-        gently = asyncio.run(read_description_gently(json.dumps(data).encode(), _no_breath))
-        self.assertEqual(gently.unwrap_err(), faults)
-        many = {**data, "entries": [{}] * 450 + [{"name": 5}]}
-        shifted = asyncio.run(read_description_gently(json.dumps(many).encode(), _no_breath)).unwrap_err()
-        self.assertIn("entries[450].name: must be str, not int", shifted)
-        self.assertIn("over", read_description(b" " * (MAXIMUM_DESCRIPTION + 1)).unwrap_err()[0])
--- a/src/pearhead/config/startup.py
+++ b/src/pearhead/config/startup.py
@@ -7,7 +7,6 @@
 import json
 import sys
 import tomllib
-import unittest
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, get_type_hints
@@ -129,19 +128,3 @@
     for fault in faults:
         print(f"{program_name}: {fault}", file=sys.stderr)
     raise SystemExit(2)
-
-
-class StartupTest(unittest.TestCase):
-    def test_faults_are_all_told_and_flags_go_over_the_file(self) -> None:
-        flags: dict[str, Any] = {
-            "address": "127.0.0.1:70000",
-            "httpAddress": "127.0.0.1:1",
-            "area": "",
-            "seeds": "x",
-            "termMicros": 0,
-        }
-        faults = read_startup("", flags, True).unwrap_err()
-        self.assertEqual([f.split(":")[0] for f in faults], ["address", "seeds[0]", "area", "dataFolder", "termMicros"])
-        flags.update(address="127.0.0.1:2", area="a", seeds="127.0.0.1:2,127.0.0.1:3", termMicros=5)
-        startup = read_startup("", flags, False).unwrap()
-        self.assertEqual((startup.seeds, startup.termMicros), (["127.0.0.1:2", "127.0.0.1:3"], 5))
--- a/src/pearhead/control_plane/events.py
+++ b/src/pearhead/control_plane/events.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import unittest
 from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -61,28 +60,3 @@
                 is_told = await self.post(dict(message.headers), message.body)
                 self.told_count += is_told
                 self.lost_count += not is_told
-
-
-class EventTellerTest(unittest.TestCase):
-    def test_a_slow_sink_loses_the_oldest_and_blocks_nobody(self) -> None:
-        posted: list[bytes] = []
-
-        async def post(headers: dict[str, str], body: bytes) -> bool:
-            posted.append(body)
-            return len(posted) != 1
-
-        async def tell() -> EventTeller:
-            teller = EventTeller(post)
-            for index in range(QUEUE_LIMIT + 5):
-                teller.tell("weights.named", index, {"line": "l"})
-            run_task = asyncio.ensure_future(teller.run())
-            while teller.waiting:
-                await asyncio.sleep(0)
-            await asyncio.sleep(0)
-            run_task.cancel()
-            return teller
-
-        teller = asyncio.run(tell())
-        self.assertEqual((teller.told_count, teller.lost_count), (QUEUE_LIMIT - 1, 6))
-        self.assertIn(b'"id": "weights.named-5"', posted[0])
-        self.assertIn(b'"type": "pearhead.weights.named"', posted[0])
--- a/src/pearhead/control_plane/fleet.py
+++ b/src/pearhead/control_plane/fleet.py
@@ -5,7 +5,6 @@
 import base64
 import hashlib
 import json
-import unittest
 from collections import OrderedDict
 from typing import Any
 
@@ -41,7 +40,6 @@
     SetWorkers,
     TakeHold,
     ViewDelta,
-    Worker,
 )
 
 TRANSACTION_LIMIT = 65_536
@@ -389,80 +387,3 @@
 
 def _is_no_higher(weights: str, present: str) -> bool:
     return weights.isdecimal() and present.isdecimal() and int(weights) <= int(present)
-
-
-class FleetTest(unittest.TestCase):
-    def test_a_later_releases_field_is_kept_and_its_command_stops_the_core(self) -> None:
-        fleet = Fleet()
-        weights = Command(transaction=b"a")
-        weights.workers.SetInParent()
-        later_field = b"\xfa\x3f\x03new"  # Field 1023, which this release does not know.
-        self.assertEqual(fleet.apply(1, weights.SerializeToString() + later_field)["status"], "done")
-        self.assertIn(later_field, Command.FromString(weights.SerializeToString() + later_field).SerializeToString())
-        before = fleet.take_digest()
-        with self.assertRaises(UnknownCommandError):
-            fleet.apply(2, later_field)
-        self.assertEqual(fleet.take_digest(), before, "nothing was applied")
-
-    def test_a_mark_outlasts_the_platforms_list_and_a_base_tells_of_races(self) -> None:
-        fleet = Fleet()
-        index = 0
-
-        def run(transaction: bytes = b"", **body: Any) -> Outcome:
-            nonlocal index
-            index += 1
-            return fleet.apply(index, Command(transaction=transaction, **body).SerializeToString())
-
-        def listed(address: str = "a:1") -> SetWorkers:
-            return SetWorkers(worker=[Worker(name="w", address=address, service="s")])
-
-        run(workers=listed())
-        marked = run(b"t", workers=SetWorkers(partial=True, leaving=["w"]))
-        run(workers=listed())
-        self.assertTrue(fleet.workers["w"]["leaving"], "the platform's list took the operator's mark away")
-        run(workers=SetWorkers(partial=True, staying=["w"]))
-        self.assertEqual(run(b"t", workers=SetWorkers(partial=True, leaving=["w"])), marked, "a repeat")
-        self.assertFalse(fleet.workers["w"]["leaving"], "a repeat marked again")
-        run(workers=SetWorkers(partial=True, leaving=["w"]))
-        run(workers=listed("b:1"))
-        self.assertFalse(fleet.workers["w"]["leaving"], "another machine of that name")
-        self.assertEqual(run(workers=SetWorkers(partial=True, leaving=["x"]))["status"], "refused")
-        late = SetWorkers(partial=True, leaving=["w"], base_revision=1)
-        self.assertEqual(run(workers=late)["status"], "conflict")
-        run(apply=ApplyDescription(base_revision=0, description=b'{"lines":[{"name":"l","weights":"w1"}]}'))
-        base = fleet.weights["l"]["revision"]
-        first = run(weights=NameWeights(line="l", weights="w2", base_revision=base))
-        second = run(weights=NameWeights(line="l", weights="w3", base_revision=base))
-        self.assertEqual((first["status"], second), ("done", {"status": "conflict", "revision": first["revision"]}))
-        self.assertEqual(fleet.weights["l"]["weights"], "w2")
-
-    def test_repeats_races_and_digests(self) -> None:
-        fleet = Fleet()
-
-        def run(index: int, transaction: bytes, **body: Any) -> Outcome:
-            return fleet.apply(index, Command(transaction=transaction, **body).SerializeToString())
-
-        first = run(1, b"a", apply=ApplyDescription(base_revision=0, description=b'{"lines":[]}'))
-        loser = run(2, b"b", apply=ApplyDescription(base_revision=0, description=b"{}"))
-        again = run(3, b"a", apply=ApplyDescription(base_revision=0, description=b'{"lines":[]}'))
-        self.assertEqual((first, again), ({"status": "done", "revision": 1},) * 2)
-        self.assertEqual(loser, {"status": "conflict", "revision": 1})
-        bump = BumpPart(owner="tenant:t", line="l", part=7)
-        self.assertEqual(run(4, b"c", bump=bump)["revision"], 2)
-        self.assertEqual(run(5, b"c", bump=bump)["revision"], 2)
-        self.assertEqual(run(6, b"d", bump=bump)["revision"], 3)
-        run(7, b"", workers=SetWorkers(worker=[Worker(name="w", address="x", service="s")]))
-        self.assertEqual(run(8, b"", hold=TakeHold(worker="w", holder="n1"))["fence"], 8)
-        self.assertEqual(run(9, b"", hold=TakeHold(worker="w", holder="n2"))["status"], "held")
-        other = Fleet()
-        other.load_digest(fleet.take_digest())
-        anew = Command(hold=TakeHold(worker="w", holder="n1")).SerializeToString()
-        self.assertEqual(other.apply(10, anew), {"status": "done", "fence": 10}, "back with a later fence")
-        taken = run(10, b"", hold=TakeHold(worker="w", holder="n2", renew_fence=8, expired=True))
-        self.assertEqual(taken, {"status": "done", "fence": 10})
-        stale = ConfirmLoad(worker="w", fence=8, weights_revision=1)
-        self.assertEqual(run(11, b"", confirm=stale)["status"], "refused")
-        copy = Fleet()
-        copy.load_digest(fleet.take_digest())
-        self.assertEqual(copy.take_digest(), fleet.take_digest())
-        self.assertEqual(copy.revisions_of("tenant:t/l"), [(7, 3)])
--- a/src/pearhead/invalidation/channel.py
+++ b/src/pearhead/invalidation/channel.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import unittest
 
 from bitarray import bitarray
 
@@ -38,14 +37,3 @@
 
     def to_bytes(self) -> bytes:
         return self.joined_bits.tobytes()
-
-
-class JoinedChannelsTest(unittest.TestCase):
-    def test_channels_stay_in_range_and_volumes_differ_from_objects(self) -> None:
-        channels = JoinedChannels()
-        found = {object_channel("tenant:a", "l", part) for part in range(2_000)}
-        self.assertEqual(len(found), CHANNEL_COUNT)
-        self.assertTrue(channels.join(5))
-        self.assertFalse(channels.join(5))
-        self.assertEqual(len(channels.to_bytes()), CHANNEL_COUNT // 8)
-        self.assertNotEqual(volume_channel("tenant:a", "l"), volume_channel("group:a", "l"))
--- a/src/pearhead/invalidation/key.py
+++ b/src/pearhead/invalidation/key.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import unittest
 
 KEY_SIZE = 16
 
@@ -22,17 +21,3 @@
 
 def cache_salt(owner: str, line: str, weights_revision: int) -> str:
     return f"{owner}/{line}@{weights_revision}"
-
-
-class ChainKeysTest(unittest.TestCase):
-    def test_owner_weights_revision_and_order_all_change_a_key(self) -> None:
-        base = chain_keys("tenant:a", "l", 1, [(1, 1), (2, 1)])
-        others = [
-            chain_keys("group:a", "l", 1, [(1, 1), (2, 1)]),
-            chain_keys("tenant:a", "l", 2, [(1, 1), (2, 1)]),
-            chain_keys("tenant:a", "l", 1, [(1, 2), (2, 1)]),
-            chain_keys("tenant:a", "l", 1, [(2, 1), (1, 1)]),
-        ]
-        for other in others:
-            self.assertNotIn(other[1], base)
-        self.assertEqual(chain_keys("tenant:a", "l", 1, [(1, 1), (2, 5)])[0], base[0])
--- a/src/pearhead/router/admit.py
+++ b/src/pearhead/router/admit.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import unittest
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -155,44 +154,3 @@
             queue.waiting_count -= 1
             if not tenant_waiters:
                 del queue.waiters_by_tenant[tenant_name]
-
-
-class AdmissionTest(unittest.TestCase):
-    def test_a_large_tenants_burst_does_not_starve_a_small_one(self) -> None:
-        from pearhead.config.description import Tenant
-        from pearhead.config.view import View
-        from pearhead.router.job import WrittenJob
-        from pearhead.runtime.clock import BootClock
-
-        entry = CapabilityEntry("e", "l", ["*"], ["k"], "s", concurrency=1, queueLimit=8)
-        order: list[str] = []
-
-        def make_job(tenant_name: str) -> Job:
-            request = WrittenJob("l", "k", "b")
-            return Job(request, "j", 0, View(), 2**62, Tenant(tenant_name, []), entry)
-
-        async def run_all() -> list[Turn]:
-            admission = Admission(BootClock())
-
-            async def run(tenant_name: str) -> Turn:
-                admitted = await admission.admit(make_job(tenant_name))
-                if not isinstance(admitted, Err):
-                    order.append(tenant_name)
-                    await asyncio.sleep(0)
-                    admission.leave_place(entry, tenant_name)
-                return admitted
-
-            return await asyncio.gather(*[run("large") for _ in range(8)], run("small"))
-
-        results = asyncio.run(run_all())
-        refused = [r.err_value.kind for r in results if isinstance(r, Err)]
-        self.assertEqual(refused, [ErrorKind.TENANT_BUSY] * 3)
-        self.assertLess(order.index("small"), 3)
-
-    def test_each_refused_caller_is_told_a_turn_of_its_own_within_the_limit(self) -> None:
-        queue = _EntryQueue()
-        queue.mean_micros = float(SECOND)
-        told = [queue.tell(3 * SECOND, 2, 0) for _ in range(40)]
-        self.assertEqual(told[:3], [3_500_000, 4_000_000, 4_500_000])
-        self.assertEqual(told[-1], COME_BACK_LIMIT_MICROS)
-        self.assertEqual(queue.tell(0, 2, 60 * SECOND), SECOND // 2, "those turns are over")
--- a/src/pearhead/router/budget.py
+++ b/src/pearhead/router/budget.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import unittest
-
 BURST_LIMIT = 10.0
 
 
@@ -25,14 +23,3 @@
         self.tokens[service] -= 1.0
         self.retry_count += 1
         return True
-
-
-class RetryBudgetTest(unittest.TestCase):
-    def test_retries_stay_within_the_share(self) -> None:
-        budget = RetryBudget()
-        self.assertFalse(budget.take_out("s"), "no credit at first")
-        taken = 0
-        for _ in range(1_000):
-            budget.pay_in("s", 0.1)
-            taken += budget.take_out("s")
-        self.assertEqual(taken, 100)
--- a/src/pearhead/router/errors.py
+++ b/src/pearhead/router/errors.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import unittest
 from dataclasses import dataclass
 
 from pearhead.runtime.clock import SECOND
@@ -67,15 +66,3 @@
     def come_back_seconds(self) -> int:
         least_seconds = ERROR_TABLE[self.kind].come_back_seconds
         return max(least_seconds, -(-self.come_back_micros // SECOND)) if least_seconds else 0
-
-
-class ErrorTableTest(unittest.TestCase):
-    def test_every_kind_has_one_answer_and_only_one_is_no_refusal(self) -> None:
-        self.assertEqual(set(ERROR_TABLE), set(ErrorKind))
-        unsure = [kind for kind, given_result in ERROR_TABLE.items() if given_result.ran != NOT_RUN]
-        self.assertEqual(unsure, [ErrorKind.OUTCOME_UNKNOWN])
-
-    def test_a_refusal_says_when_to_come_back_in_whole_seconds(self) -> None:
-        self.assertEqual(Refusal(ErrorKind.OVERLOADED, "", 2_000_001).come_back_seconds(), 3)
-        self.assertEqual(Refusal(ErrorKind.OVERLOADED).come_back_seconds(), 1)
-        self.assertEqual(Refusal(ErrorKind.BAD_KEY, "", 2_000_001).come_back_seconds(), 0, "never")
--- a/src/pearhead/router/job.py
+++ b/src/pearhead/router/job.py
@@ -4,7 +4,6 @@
 
 import json
 import re
-import unittest
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -89,18 +88,3 @@
         if not (0 <= part.part < 2**63 and 0 < part.tokens < 2**31):
             return Err(Refusal(ErrorKind.MALFORMED, f"prefix[{position}]: out of range"))
     return Ok(request)
-
-
-class ReadJobTest(unittest.TestCase):
-    def test_bad_input_has_its_own_kind(self) -> None:
-        cases: list[tuple[bytes, ErrorKind]] = [
-            (b"{", ErrorKind.MALFORMED),
-            (b"[" * 100_000, ErrorKind.MALFORMED),
-            (b'{"model":"m","kind":"k","body":"b","x":1}', ErrorKind.UNKNOWN_FIELD),
-            (b'{"model":"m","kind":"k","body":"b","deadlineMicros":-1}', ErrorKind.DEADLINE_PASSED),
-            (b'{"model":"m","kind":"k","body":"b","jobId":"a b"}', ErrorKind.MALFORMED),
-            (b'{"model":"m","kind":"k","body":"b","prefix":[{"part":1,"tokens":0}]}', ErrorKind.MALFORMED),
-        ]
-        for body_bytes, kind in cases:
-            self.assertEqual(read_job(body_bytes).unwrap_err().kind, kind, body_bytes[:40])
-        self.assertEqual(read_job(b'{"model":"m","kind":"k","body":"b"}').unwrap().prefix, [])
--- a/src/pearhead/runtime/clock.py
+++ b/src/pearhead/runtime/clock.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-import unittest
 from collections.abc import Callable
 from typing import Protocol
 
@@ -57,12 +56,3 @@
         await wake_future
     finally:
         rest_timer.cancel()
-
-
-class ChooseClockTest(unittest.TestCase):
-    def test_a_refused_boot_clock_gives_way_to_the_steady_one(self) -> None:
-        def refuse(clock_id: int) -> int:
-            raise OSError(22, "refused")
-
-        self.assertEqual(choose_clock(refuse), time.CLOCK_MONOTONIC)
-        self.assertEqual(choose_clock(lambda clock_id: 1), time.CLOCK_BOOTTIME)
--- a/src/pearhead/runtime/socketnet.py
+++ b/src/pearhead/runtime/socketnet.py
@@ -7,9 +7,7 @@
 import logging
 import socket
 import struct
-import unittest
 from collections import deque
-from collections.abc import Callable
 
 from pearhead.runtime.clock import MILLI, SECOND, BootClock, Clock, rest
 from pearhead.runtime.net import MAXIMUM_FRAME, Receiver
@@ -216,79 +214,3 @@
         finally:
             self.own_tasks.discard(serve_task)
             stream_writer.close()
-
-
-class OutLinkTest(unittest.IsolatedAsyncioTestCase):
-    def setUp(self) -> None:
-        self.clock = BootClock()
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.address = f"127.0.0.1:{probe.getsockname()[1]}"
-
-    async def open_net(self, address: str = "127.0.0.1:0") -> tuple[SocketNet, list[bytes]]:
-        taken: list[bytes] = []
-        net = SocketNet(address)
-        net.listen(taken.append)
-        if not address.endswith(":0"):
-            await net.open()
-        self.addCleanup(net.close)
-        return net, taken
-
-    async def until(self, is_reached: Callable[[], bool], limit_micros: int = 4 * SECOND) -> bool:
-        end_micros = self.clock.now() + limit_micros
-        while not is_reached() and self.clock.now() < end_micros:
-            await rest(self.clock, 10 * MILLI)
-        return is_reached()
-
-    async def test_what_waited_for_a_second_is_dropped_and_the_rest_goes_in_order(self) -> None:
-        sender, _ = await self.open_net()
-        sender.send(self.address, b"stale")
-        await rest(self.clock, FRESH_MICROS + 100 * MILLI)
-        for number in range(5):
-            sender.send(self.address, b"%d" % number)
-        _, taken = await self.open_net(self.address)
-        self.assertTrue(await self.until(lambda: len(taken) == 5))
-        self.assertEqual(taken, [b"0", b"1", b"2", b"3", b"4"])
-
-    async def test_a_process_started_again_hears_the_next_frame_at_once(self) -> None:
-        sender, _ = await self.open_net()
-        former, _ = await self.open_net(self.address)
-        sender.send(self.address, b"a")
-        await rest(self.clock, 100 * MILLI)
-        former.close()
-        await rest(self.clock, 100 * MILLI)
-        _, taken = await self.open_net(self.address)
-        sender.send(self.address, b"b")
-        self.assertTrue(await self.until(lambda: taken == [b"b"], 500 * MILLI), taken)
-
-    async def test_a_peer_that_does_not_read_is_given_up_and_nothing_piles_up(self) -> None:
-        connections: list[asyncio.StreamWriter] = []
-
-        async def hold(stream_reader: asyncio.StreamReader, stream_writer: asyncio.StreamWriter) -> None:
-            stream_writer.transport.pause_reading()  # type: ignore[attr-defined]
-            connections.append(stream_writer)
-
-        host_name, port_number = split_address(self.address)
-        server = await asyncio.start_server(hold, host_name, port_number)
-        self.addCleanup(server.close)
-        sender, _ = await self.open_net()
-
-        def is_given_up() -> bool:
-            sender.send(self.address, bytes(1024 * 1024))
-            return len(connections) > 1
-
-        self.assertTrue(await self.until(is_given_up))
-        self.assertLessEqual(sender.out_links[self.address].waiting_size, QUEUE_SIZE)
-        for connection in connections:
-            connection.transport.abort()
-
-    async def test_links_end_by_themselves_when_the_peer_is_in_the_dark(self) -> None:
-        sender, _ = await self.open_net()
-        _, taken = await self.open_net(self.address)
-        sender.send(self.address, b"a")
-        self.assertTrue(await self.until(lambda: bool(taken)))
-        stream_writer = sender.out_links[self.address].stream_writer
-        assert stream_writer is not None
-        own_socket = stream_writer.get_extra_info("socket")
-        for level, name, value in LINK_OPTIONS:
-            self.assertEqual(own_socket.getsockopt(level, name), value)
--- a/src/pearhead/testbed/simulator/strikes.py
+++ b/src/pearhead/testbed/simulator/strikes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import unittest
 from dataclasses import dataclass
 
 from pearhead.runtime.clock import MILLI, SECOND
@@ -109,19 +108,3 @@
             Strike(STRIKE_COUNT, chance.choice(LAST_KINDS), last_micros, 0, chance.randrange(1_000), stays_on=True)
         )
         return sorted(strikes, key=lambda s: (s.at_micros, s.number))
-
-
-class StrikePlanTest(unittest.TestCase):
-    def test_core_strikes_never_overlap_and_others_do(self) -> None:
-        overlap_count = 0
-        for seed in range(200):
-            strikes = StrikePlan().draw(seed)
-            self.assertEqual(strikes, StrikePlan().draw(seed))
-            self.assertTrue(strikes[-1].stays_on)
-            cores = [s for s in strikes if s.kind in CORE_KINDS]
-            for first, second in zip(cores, cores[1:], strict=False):
-                self.assertGreater(second.at_micros, first.at_micros + first.lasts_micros)
-            overlap_count += sum(
-                a.at_micros < b.at_micros < a.at_micros + a.lasts_micros for a in strikes for b in strikes
-            )
-        self.assertGreater(overlap_count, 1_000)
--- a/src/pearhead/testbed/simulator/sweep.py
+++ b/src/pearhead/testbed/simulator/sweep.py
@@ -6,8 +6,6 @@
 import json
 import multiprocessing
 import statistics
-import tempfile
-import unittest
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 from pathlib import Path
@@ -129,29 +127,3 @@
         }
         with self.journal_path.open("a") as journal:
             journal.write(json.dumps(row) + "\n")
-
-
-class SweepTest(unittest.TestCase):
-    def test_a_sweep_goes_on_where_it_stopped_and_shortens_what_failed(self) -> None:
-        ran: list[RunOrder] = []
-
-        def run_many(orders: list[RunOrder]) -> list[RunResult]:
-            ran.extend(orders)
-            # Strikes 3 and 5 together break a rule in seed 2.
-            return [RunResult(o, ["force: x"] if o.seed == 2 and not o.left_out & {3, 5} else []) for o in orders]
-
-        said: list[str] = []
-        with tempfile.TemporaryDirectory() as folder:
-            journal_path = Path(folder) / "journal"
-            orders = [RunOrder(OVERLAPPING, "academy", seed) for seed in (1, 2)]
-            self.assertEqual(Sweep(journal_path, run_many, said.append).run(orders[:1]), 0)
-            with journal_path.open("a") as journal:
-                journal.write('{"command": "testbed si')
-            journal_path.write_text(journal_path.read_text() + "\n")
-            ran.clear()
-            self.assertEqual(Sweep(journal_path, run_many, said.append).run(orders), 1)
-            self.assertEqual(ran[0], orders[1], "the first one stood in the journal")
-            drawn = {s.number for s in StrikePlan().draw(2)}
-            self.assertEqual(drawn - ran[-1].left_out - {3, 5}, set())
-            self.assertEqual(Sweep(journal_path, run_many, said.append).run(orders), 1, "a failure is not forgotten")
-            self.assertIn("| overlapping-faults | academy | 2 | 1 | 0.0 | 0.0 | 0.0% |", said)
--- /dev/null
+++ b/tests/test_control_plane_events.py
@@ -0,0 +1,33 @@
+"""EventTeller: a slow sink loses the oldest events and blocks nobody."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from pearhead.control_plane.events import QUEUE_LIMIT, EventTeller
+
+
+class EventTellerTest(unittest.TestCase):
+    def test_a_slow_sink_loses_the_oldest_and_blocks_nobody(self) -> None:
+        posted: list[bytes] = []
+
+        async def post(headers: dict[str, str], body: bytes) -> bool:
+            posted.append(body)
+            return len(posted) != 1
+
+        async def tell() -> EventTeller:
+            teller = EventTeller(post)
+            for index in range(QUEUE_LIMIT + 5):
+                teller.tell("weights.named", index, {"line": "l"})
+            run_task = asyncio.ensure_future(teller.run())
+            while teller.waiting:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            run_task.cancel()
+            return teller
+
+        teller = asyncio.run(tell())
+        self.assertEqual((teller.told_count, teller.lost_count), (QUEUE_LIMIT - 1, 6))
+        self.assertIn(b'"id": "weights.named-5"', posted[0])
+        self.assertIn(b'"type": "pearhead.weights.named"', posted[0])
--- /dev/null
+++ b/tests/test_router_budget.py
@@ -0,0 +1,18 @@
+"""RetryBudget: retries stay within their share of the requests."""
+
+from __future__ import annotations
+
+import unittest
+
+from pearhead.router.budget import RetryBudget
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_retries_stay_within_the_share(self) -> None:
+        budget = RetryBudget()
+        self.assertFalse(budget.take_out("s"), "no credit at first")
+        taken = 0
+        for _ in range(1_000):
+            budget.pay_in("s", 0.1)
+            taken += budget.take_out("s")
+        self.assertEqual(taken, 100)
--- /dev/null
+++ b/tests/test_router_nominate.py
@@ -0,0 +1,163 @@
+"""Nominator: which worker runs a job, and from where it fetches parts."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from pearhead.config.description import CapabilityEntry, Description, Limits, Line, Service, Tenant
+from pearhead.config.view import LoadFact, View, WeightsFact, WorkerFact
+from pearhead.discovery.directory import Directory
+from pearhead.invalidation.key import chain_keys
+from pearhead.invalidation.listener import Listener
+from pearhead.router.errors import ErrorKind
+from pearhead.router.index import CopyIndex
+from pearhead.router.job import Job, Placement, PrefixPart, WrittenJob
+from pearhead.router.nominate import TOLD_UNSOUND_MICROS, Nominator
+from pearhead.router.term import TermKeeper
+from pearhead.rpc.courier import Courier
+from pearhead.rpc.wire_pb2 import Record
+from pearhead.runtime.bench import Bench
+from pearhead.runtime.clock import SECOND
+from pearhead.runtime.crew import Crew
+
+
+class NominatorTest(unittest.TestCase):
+    """Three workers on weights of revision 5; parts 1 and 2 of a kept tenant; a store."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        courier = Courier("me", "a:1", self.bench, self.bench)
+        directory = Directory(Record(identity="me"), ["s:1"], courier, self.bench, random.Random(1))
+        crew = Crew("t")
+        keeper = TermKeeper(courier, directory, self.bench, random.Random(1), crew, SECOND)
+        self.listener = Listener(courier, directory, self.bench, random.Random(1), crew, 30 * SECOND)
+        self.index = CopyIndex()
+        self.nominator = Nominator(keeper, self.listener, self.index, self.bench, 8 * SECOND)
+        names = ("w1", "w2", "w3")
+        self.view = View()
+        self.entry = CapabilityEntry("e", "l", ["*"], ["k"], "models")
+        services = [Service("models", "model"), Service("kept", "store")]
+        self.view.__dict__.update(
+            description=Description([Line("l", "x")], services, [self.entry], [], Limits()),
+            workers={n: WorkerFact(n, n, "z", "models", False) for n in names}
+            | {"store": WorkerFact("store", "store", "z", "kept", False)},
+            loads={n: LoadFact("l", f"life-{n}", 1, 5, 10, "x") for n in names},
+            weights={"l": WeightsFact("x", 5)},
+        )
+        keeper.view = self.view
+        self.know(True)
+
+    def know(self, is_known: bool) -> None:
+        self.listener.revision_of("tenant:t", "l", 1)
+        self.listener.volumes["tenant:t", "l"].expiry_micros = 2**60 if is_known else 0
+
+    def job(self, tenant: Tenant | None = None) -> Job:
+        request = WrittenJob("l", "k", "b", [PrefixPart(1, 500), PrefixPart(2, 1_000)])
+        return Job(request, "j", 0, self.view, 2**60, tenant or Tenant("t", []), self.entry)
+
+    def keep(self, worker: str, length: int = 2, weights_revision: int = 5, life: str = "") -> None:
+        keys = chain_keys("tenant:t", "l", weights_revision, [(1, 1), (2, 1)])[:length]
+        self.index.take_report(worker, life or f"life-{worker}", 10, 12, keys, [], False)
+        self.index.tie(self.view.loads.get(worker), life or f"life-{worker}", 10, keys)
+
+    def place(self, job: Job | None = None) -> Placement:
+        return self.nominator.nominate(job or self.job()).unwrap()
+
+    def test_the_keeper_is_chosen_until_its_wait_outgrows_the_prefill(self) -> None:
+        self.keep("w2")
+        self.assertEqual((self.place().worker.name, self.place().reused_parts), ("w2", 2))
+        self.nominator.take_load("w2", 0, 1_400)
+        self.assertEqual(self.place().worker.name, "w2")
+        self.nominator.take_load("w2", 0, 1_600)
+        self.assertNotEqual(self.place().worker.name, "w2")
+        self.nominator.take_load("w2", 0, 0)
+        self.nominator.take_start("w2", 1_600)
+        self.assertNotEqual(self.place().worker.name, "w2", "another node's prefill")
+        self.nominator.take_load("w2", 5, 0)
+        self.assertNotEqual(self.place().worker.name, "w2", "over the bound of the load")
+
+    def test_nothing_is_reused_or_fetched_that_is_not_current_tied_and_its_own(self) -> None:
+        self.keep("w2")
+        self.know(False)
+        placement = self.place()
+        self.assertEqual((placement.keys, placement.salt, placement.fetch_from), ([], "job:j", None))
+        self.know(True)
+        self.listener.volumes["tenant:t", "l"].changing[2] = (b"t", self.bench.now())
+        self.assertEqual(len(self.place().keys), 1, "the chain ends before a part that changes")
+        self.listener.volumes["tenant:t", "l"].changing.clear()
+        other = Tenant("other", [])
+        self.listener.revision_of("tenant:other", "l", 1)
+        self.listener.volumes["tenant:other", "l"].expiry_micros = 2**60
+        placement = self.place(self.job(other))
+        self.assertEqual((placement.reused_parts, placement.fetch_from), (0, None), "another tenant's")
+        self.index.copies.clear()
+        self.keep("w2", weights_revision=4)
+        self.assertEqual((self.place().reused_parts, self.place().fetch_from), (0, None), "other weights")
+        self.keep("w2", life="another")
+        self.assertEqual((self.place().reused_parts, self.place().fetch_from), (0, None), "another life")
+
+    def test_a_fetch_is_planned_only_where_it_is_quicker(self) -> None:
+        self.keep("w2")
+        self.nominator.take_load("w2", 5, 0)
+        placement = self.place()
+        assert placement.fetch_from is not None
+        self.assertEqual((placement.fetch_from.name, placement.fetch_parts), ("w2", 2))
+        self.assertEqual(placement.fetch_limit_micros, 150_000)
+        for _ in range(20):
+            self.nominator.costs.take_fetch("w2", placement.worker.name, 1_000, 200_000)
+        self.assertIsNone(self.place().fetch_from, "a link that slowed down")
+
+    def test_a_stores_list_counts_only_for_keys_that_a_tied_worker_made(self) -> None:
+        keys = chain_keys("tenant:t", "l", 5, [(1, 1), (2, 1)])
+        self.index.take_report("store", "s", 0, 9, keys, [], True)
+        self.assertIsNone(self.place().fetch_from)
+        self.index.tie(self.view.loads["w1"], "life-w1", 9, keys)
+        self.assertIsNone(self.place().fetch_from, "told of before the load")
+        self.index.tie(self.view.loads["w1"], "life-w1", 10, keys)
+        fetch_from = self.place().fetch_from
+        assert fetch_from is not None
+        self.assertEqual(fetch_from.name, "store")
+
+    def test_told_unsoundness_decides_only_while_others_are_left(self) -> None:
+        self.keep("w2")
+        self.nominator.take_unsound("w2")
+        self.assertNotEqual(self.place().worker.name, "w2")
+        self.nominator.take_unsound("w1")
+        self.nominator.take_unsound("w3")
+        self.assertEqual(self.place().worker.name, "w2", "a holder that is cut off tells all unsound")
+        self.bench.now_micros += TOLD_UNSOUND_MICROS
+        self.assertEqual(self.place().worker.name, "w2")
+
+    def test_a_job_that_can_not_begin_in_time_is_refused_at_once(self) -> None:
+        for worker in ("w1", "w2", "w3"):
+            self.nominator.take_load(worker, 0, 50_000)
+        job = self.job()
+        job.deadlineMicros = self.bench.now() + 4 * SECOND
+        self.assertEqual(self.nominator.nominate(job).unwrap_err().kind, ErrorKind.OVERLOADED)
+
+    def test_a_wrong_estimate_puts_itself_right_on_an_idle_worker(self) -> None:
+        for worker in ("w1", "w2", "w3"):
+            self.nominator.costs.take_stream("e", worker, 60 * SECOND)
+        job = self.job()
+        job.deadlineMicros = self.bench.now() + 4 * SECOND
+        self.assertIn(self.nominator.nominate(job).unwrap().worker.name, ("w1", "w2", "w3"))
+        for worker in ("w1", "w2", "w3"):
+            self.nominator.begin(worker, 0)
+        self.assertEqual(self.nominator.nominate(job).unwrap_err().kind, ErrorKind.OVERLOADED)
+
+    def test_old_weights_serve_only_a_while_and_only_where_the_roll_out_was_seen(self) -> None:
+        self.view.__dict__["weights"] = {"l": WeightsFact("y", 6)}
+        self.assertEqual(self.nominator.nominate(self.job()).unwrap_err().kind, ErrorKind.NO_WORKER)
+        keeper = self.nominator.keeper
+        keeper.first_seen["l", 6] = keeper.named_after["l", 6] = self.bench.now()
+        self.assertEqual(self.place().worker.name, "w3", "the first wave is left alone")
+        self.assertEqual(self.place().weights_name, "x")
+        self.bench.now_micros += 6 * SECOND
+        self.view.__dict__["weights"] = {"l": WeightsFact("z", 7)}
+        keeper.first_seen["l", 7] = keeper.named_after["l", 7] = self.bench.now()
+        self.assertEqual(self.place().weights_name, "x")
+        self.bench.now_micros += 2 * SECOND
+        self.assertEqual(
+            self.nominator.nominate(self.job()).unwrap_err().kind, ErrorKind.NO_WORKER, "a naming granted time anew"
+        )
--- /dev/null
+++ b/tests/test_simulator_explore.py
@@ -0,0 +1,28 @@
+"""Explorer: it finds the one order of steps that loses an update."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from pearhead.testbed.simulator.explore import Explorer
+
+
+class ExplorerTest(unittest.TestCase):
+    def test_it_finds_the_one_order_that_loses_an_update(self) -> None:
+        async def story() -> None:
+            counter = {"value": 0}
+
+            async def add() -> None:
+                held = counter["value"]
+                await asyncio.sleep(0)
+                counter["value"] = held + 1
+
+            await asyncio.gather(add(), add())
+            assert counter["value"] == 2, "lost"
+
+        exploration = Explorer().explore(story)
+        self.assertTrue(exploration.is_whole)
+        self.assertGreater(exploration.schedule_count, 5)
+        self.assertGreater(len(exploration.faults), 0)
+        self.assertLess(len(exploration.faults), exploration.schedule_count)
