Check that no file under src/ or platform/ holds tests

Cause: nothing kept tests from coming back into what is shipped.

The rule finds imports of unittest (also within functions and of its submodules) and classes that derive from any TestCase. A second test plants seven violations and one harmless text.

The rule on wall time now reads whole files; it left out the classes at their foot, which are gone, so it is stricter than before.

The whole suite was not run.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,7 +14,10 @@
 from pearhead.testbed.simulator.mutations import MUTATIONS
 from pearhead.testbed.simulator.scenarios import SCENARIOS
 
-SOURCE = Path(__file__).resolve().parent.parent / "src" / "pearhead"
+ROOT = Path(__file__).resolve().parent.parent
+SOURCE = ROOT / "src" / "pearhead"
+# What is shipped; tests stand in tests/ only.
+PRODUCT_FOLDERS = ("src", "platform")
 # Lower it with each file that becomes clean.
 MOST_WITHOUT_DOCSTRINGS = 147
 DECIDING = (
@@ -46,21 +49,54 @@
     ]
 
 
-def code_of(file_path: Path) -> str:
-    """A file without the tests at its foot."""
-    module = ast.parse(file_path.read_text())
-    module.body = [n for n in module.body if not (isinstance(n, ast.ClassDef) and n.name.endswith("Test"))]
-    return ast.unparse(module)
+def imported_modules(node: ast.AST) -> list[str]:
+    """The modules that a statement imports; none for anything but an import."""
+    if isinstance(node, ast.Import):
+        return [alias.name for alias in node.names]
+    if isinstance(node, ast.ImportFrom):
+        return [node.module or ""]
+    return []
+
+
+def find_test_code(source_text: str) -> list[str]:
+    """Imports of unittest, and classes that are or derive from a test case."""
+    found = []
+    for node in ast.walk(ast.parse(source_text)):
+        if any(module.split(".")[0] == "unittest" for module in imported_modules(node)):
+            found.append(ast.unparse(node))
+        if isinstance(node, ast.ClassDef) and any("TestCase" in ast.unparse(base) for base in node.bases):
+            found.append(f"class {node.name}")
+    return found
 
 
 class RulesTest(unittest.TestCase):
     def test_nothing_that_decides_reads_wall_time(self) -> None:
         file_paths = [p for name in DECIDING for p in sorted((SOURCE / name).rglob("*.py"))]
         self.assertGreater(len(file_paths), 40)
-        found = {str(p.relative_to(SOURCE)): find_calls(code_of(p)) for p in file_paths}
+        found = {str(p.relative_to(SOURCE)): find_calls(p.read_text()) for p in file_paths}
         self.assertEqual({name: calls for name, calls in found.items() if calls}, {})
         self.assertEqual(find_calls("import time\nx = time.time()"), ["time.time"])
 
+    def test_no_product_file_holds_tests(self) -> None:
+        file_paths = [p for folder in PRODUCT_FOLDERS for p in sorted((ROOT / folder).rglob("*.py"))]
+        self.assertGreater(len(file_paths), 100)
+        found = {str(p.relative_to(ROOT)): find_test_code(p.read_text()) for p in file_paths}
+        self.assertEqual({name: lines for name, lines in found.items() if lines}, {})
+
+    def test_planted_test_code_is_found(self) -> None:
+        planted = {
+            "import unittest": ["import unittest"],
+            "import os, unittest.mock as mock": ["import os, unittest.mock as mock"],
+            "from unittest import mock": ["from unittest import mock"],
+            "def run():\n    from unittest.mock import patch": ["from unittest.mock import patch"],
+            "class FirstTest(unittest.TestCase): ...": ["class FirstTest"],
+            "class SecondTest(IsolatedAsyncioTestCase): ...": ["class SecondTest"],
+            "class ThirdTest(tornado.testing.AsyncHTTPTestCase): ...": ["class ThirdTest"],
+            "import unittests\nfrom . import unittest_free\nclass TestCases: ...": [],
+        }
+        for source_text, expected in planted.items():
+            self.assertEqual(find_test_code(source_text), expected, source_text)
+
     def test_no_daemon_starts_a_process(self) -> None:
         names = ("subprocess", "multiprocessing", "os.fork", "os.system", "os.exec")
         for name in (*DECIDING, "pearheadctl"):
@@ -68,18 +104,18 @@
                 self.assertFalse([n for n in names if n in file_path.read_text()], file_path)
 
     def test_the_list_of_files_without_docstrings_only_shrinks(self) -> None:
-        settings = tomllib.loads((SOURCE.parent.parent / "pyproject.toml").read_text())
+        settings = tomllib.loads((ROOT / "pyproject.toml").read_text())
         ignored = settings["tool"]["ruff"]["lint"]["per-file-ignores"]
         unclean = [name for name, codes in ignored.items() if "D" in codes and not name.startswith("tests/")]
         self.assertLessEqual(len(unclean), MOST_WITHOUT_DOCSTRINGS)
-        self.assertEqual([name for name in unclean if not (SOURCE.parent.parent / name).exists()], [])
+        self.assertEqual([name for name in unclean if not (ROOT / name).exists()], [])
 
     def test_the_path_below_the_edges_opens_no_socket_of_its_own(self) -> None:
         for file_path in sorted((SOURCE / "invalidation").rglob("*.py")) + sorted((SOURCE / "consensus").rglob("*.py")):
             self.assertNotIn("import socket", file_path.read_text(), file_path)
 
     def test_every_section_that_code_cites_stands_in_the_design(self) -> None:
-        design = (SOURCE.parent.parent / "docs" / "design.md").read_text()
+        design = (ROOT / "docs" / "design.md").read_text()
         headings = set(re.findall(r"^#+ (\d+(?:\.\d+)?) ", design, re.MULTILINE))
         cited = {
             (number, file_path.name)
@@ -90,13 +126,13 @@
         self.assertEqual(sorted(c for c in cited if c[0] not in headings), [])
 
     def test_the_failure_matrix_names_every_scenario_and_mutation_and_no_other(self) -> None:
-        text = (SOURCE.parent.parent / "docs" / "failures.md").read_text()
+        text = (ROOT / "docs" / "failures.md").read_text()
         named = set(re.findall(r"`([a-z0-9_-]+)`", text))
         self.assertEqual((set(SCENARIOS) | set(MUTATIONS)) - named - {"calm"}, set())
         self.assertEqual({n for n in named if "-" in n} - set(SCENARIOS), set())
 
     def test_the_shipped_examples_are_sound_and_of_this_release(self) -> None:
-        examples = SOURCE.parent.parent / "examples"
+        examples = ROOT / "examples"
         for name, deployment in DEPLOYMENTS.items():
             text = (examples / f"{name}.json").read_text()
             self.assertEqual(text, description_text(deployment))
