Give the test bed's fault log, rate limiter and alternatives standard names

Cause: names of the withdrawn house style. FaultBook -> FaultLog (module fault_log), Standing -> FaultInterval, RateGate.let_in -> RateLimiter.try_acquire (emulator/cloud.py), Way -> Alternative (capacity/mechanisms.py).

Ruled out: a change of behaviour.

--- a/src/pearhead/testbed/capacity/mechanisms.py
+++ b/src/pearhead/testbed/capacity/mechanisms.py
@@ -32,7 +32,7 @@
 
 
 @dataclass(frozen=True)
-class Way:
+class Alternative:
     """One way to carry a need. `holds` says what its figure is; all are reckoned and none is built."""
 
     name: str
@@ -48,8 +48,8 @@
 
     need: str
     replaces: str
-    chosen: Way
-    weighed: tuple[Way, Way]
+    chosen: Alternative
+    weighed: tuple[Alternative, Alternative]
 
 
 def _term_pair(s: Slopes) -> float:
@@ -92,7 +92,7 @@
     Mechanism(
         "the configuration term",
         "§5.3",
-        Way(
+        Alternative(
             "two relays a zone ask all cores; a node asks one of them twice a second",
             "term traffic of a node",
             "B/s",
@@ -100,14 +100,14 @@
             "cores hear 40 askers; what a relay held is taken off, as §5.3 has it for colleagues",
         ),
         (
-            Way(
+            Alternative(
                 "nodes ask the cores a third as often",
                 "term traffic of a node",
                 "B/s",
                 lambda s, z: 10 / 3 * _term_pair(s),
                 "two lost rounds end a term of 2 s, and each core still hears 1,200",
             ),
-            Way(
+            Alternative(
                 "the leader grants each node its term",
                 "messages at the leader",
                 "messages/s",
@@ -119,7 +119,7 @@
     Mechanism(
         "changes of the configuration",
         "§5.2",
-        Way(
+        Alternative(
             "tenants in 256 buckets, changes told on by the zone's relays",
             "traffic in at a node, day's mean",
             "B/s",
@@ -127,14 +127,14 @@
             "as entries lie already; a core sends each change to 40 relays",
         ),
         (
-            Way(
+            Alternative(
                 "the whole head with each change, by relays",
                 "traffic in at a node, day's mean",
                 "B/s",
                 lambda s, z: _change_bytes(s, z) * z.applies_a_day / DAY_SECONDS,
                 "spares the cores and not the nodes",
             ),
-            Way(
+            Alternative(
                 "a section a tenant",
                 "sections hashed at each change",
                 "sections",
@@ -146,7 +146,7 @@
     Mechanism(
         "who is alive",
         "§3.2",
-        Way(
+        Alternative(
             "a node knows its relays and its zone; relays tell each other digests of zones",
             "records at a node",
             "records",
@@ -154,14 +154,14 @@
             "no node sorts or hashes what it never addresses",
         ),
         (
-            Way(
+            Alternative(
                 "the whole directory, kept sorted, told by changes",
                 "records at a node",
                 "records",
                 lambda s, z: z.nodes + z.cores,
                 "cheap to tell (645 changes a day), yet holders still draw among all",
             ),
-            Way(
+            Alternative(
                 "gossip of failures (SWIM) among all",
                 "records at a node",
                 "records",
@@ -173,7 +173,7 @@
     Mechanism(
         "who holds a worker",
         "§7.2",
-        Way(
+        Alternative(
             "drawn among the nodes of the worker's zone, again only when they change",
             "processor time of a change",
             "ms",
@@ -181,14 +181,14 @@
             "one hash a worker for the node that came or went; 32 changes a day a zone",
         ),
         (
-            Way(
+            Alternative(
                 "drawn among all, again only when they change",
                 "processor time of a change",
                 "ms",
                 lambda s, z: z.workers * HASH_MICROS / 1e3,
                 "needs the whole directory everywhere",
             ),
-            Way(
+            Alternative(
                 "the core names each holder",
                 "log entries at a restart of a zone",
                 "entries",
@@ -200,7 +200,7 @@
     Mechanism(
         "renewals of holds",
         "§7.2, §4.2",
-        Way(
+        Alternative(
             "one renewal a node a second for all it holds, outside the log, after a confirm",
             "processor time, leader",
             "cores",
@@ -208,14 +208,14 @@
             "the log keeps new fences only; a new leader counts from its election, as today",
         ),
         (
-            Way(
+            Alternative(
                 "a Raft group a region",
                 "processor time, one group",
                 "cores",
                 lambda s, z: s.slope("workers", "core, cores") * z.workers / REGIONS,
                 "each region goes on when it is cut off; still an entry a renewal",
             ),
-            Way(
+            Alternative(
                 "256 groups of workers, one hold each",
                 "log entries a second",
                 "entries/s",
@@ -227,7 +227,7 @@
     Mechanism(
         "reports of kept blocks, and the index",
         "§6.5",
-        Way(
+        Alternative(
             "80 shards, two on each relay's machine, poll the workers of their region each second",
             "processor time, one shard",
             "cores",
@@ -235,14 +235,14 @@
             "split by region, then by a chain's first key: one shard knows a whole chain",
         ),
         (
-            Way(
+            Alternative(
                 "a filter of each worker's blocks at each node, 10 bits a block",
                 "memory at a node",
                 "B",
                 lambda s, z: z.blocks * BITS_A_BLOCK / 8,
                 "no question a job; far over 32 MB",
             ),
-            Way(
+            Alternative(
                 "no index: rendezvous on the first key",
                 "prefill tokens saved, of those that could be",
                 "",
@@ -254,7 +254,7 @@
     Mechanism(
         "tables of purge",
         "§6.4, §6.2",
-        Way(
+        Alternative(
             "16 shards of volumes; a relay tells a shard's hash, and pairs where it changed",
             "traffic in at a node",
             "B/s",
@@ -262,14 +262,14 @@
             "pairs of revision one are left out, so a shard is what was bumped",
         ),
         (
-            Way(
+            Alternative(
                 "a table a volume, from the zone's relays",
                 "traffic in at a node",
                 "B/s",
                 lambda s, z: z.tenants * z.models / TABLE_SECONDS * 130,
                 "20,000 tables in 20 s, most of them empty",
             ),
-            Way(
+            Alternative(
                 "a table a volume, relays only for those in use",
                 "traffic in at a node",
                 "B/s",
@@ -281,7 +281,7 @@
     Mechanism(
         "the list of loads",
         "§5.2, §7.1",
-        Way(
+        Alternative(
             "loads told one by one, to the worker's region",
             "traffic in at a node, weights named, over 12 s",
             "B/s",
@@ -289,14 +289,14 @@
             "a burst over the budget of the mean, for seconds; a day's mean is under 1 B/s",
         ),
         (
-            Way(
+            Alternative(
                 "256 buckets of workers, to all",
                 "traffic in at a node, weights named, over 12 s",
                 "B/s",
                 lambda s, z: _load_bytes(s, z) * z.workers / BUCKETS * z.workers / 12,
                 "each load sends 39 others again",
             ),
-            Way(
+            Alternative(
                 "weights by model, loads polled by holders alone",
                 "questions a job",
                 "",
@@ -308,7 +308,7 @@
     Mechanism(
         "lines of results",
         "§8.1",
-        Way(
+        Alternative(
             "lines of one event round leave in one write, relayed as they came",
             "processor time a node",
             "cores",
@@ -316,14 +316,14 @@
             "a quarter assumed: no JSON read and made anew a line; to be measured first",
         ),
         (
-            Way(
+            Alternative(
                 "eight processes a machine",
                 "processor time a process",
                 "cores",
                 lambda s, z: s.slope("lines", "a job at a node, µs") * z.tokens / z.nodes / 8 / 1e6,
                 "9,600 nodes for the control plane to carry",
             ),
-            Way(
+            Alternative(
                 "workers answer callers themselves",
                 "processor time a node",
                 "cores",
--- a/src/pearhead/testbed/emulator/cloud.py
+++ b/src/pearhead/testbed/emulator/cloud.py
@@ -15,7 +15,7 @@
 GONE_MICROS = 4 * SECOND
 
 
-class RateGate:
+class RateLimiter:
     """Lets through so many calls a second, from all callers together."""
 
     def __init__(self, per_second: float) -> None:
@@ -23,7 +23,7 @@
         self.tokens = per_second
         self.filled_at = 0
 
-    def let_in(self, now: int) -> bool:
+    def try_acquire(self, now: int) -> bool:
         grown = (now - self.filled_at) * self.per_second / SECOND
         self.tokens, self.filled_at = min(self.per_second, self.tokens + grown), now
         if self.tokens < 1:
@@ -43,7 +43,7 @@
         self.page_size = page_size
         self.sink = sink
         self.shown_states: dict[str, str] = {}
-        self.gate = RateGate(per_second)
+        self.gate = RateLimiter(per_second)
         self.entries: dict[str, tuple[int, dict[str, Any]]] = {}
         self.shown: deque[tuple[int, list[dict[str, Any]]]] = deque([(0, [])])
         self.named: dict[str, list[int]] = {}
@@ -65,7 +65,7 @@
     def page(self, now: int, zone: str, token: str) -> tuple[int, dict[str, Any]]:
         """Status and body of a call for one page."""
         self.calls += 1
-        if not self.gate.let_in(now):
+        if not self.gate.try_acquire(now):
             return 429, {}
         self._note(now)
         while len(self.shown) > 1 and self.shown[1][0] <= now - self.lag_micros:
--- a/src/pearhead/testbed/simulator/faultbook.py
+++ b/src/pearhead/testbed/simulator/fault_log.py
@@ -1,4 +1,4 @@
-"""FaultBook (§9.6): which faults stand at which time, and whom the platform could know to be sound."""
+"""FaultLog (§9.6): which faults stand at which time, and whom the platform could know to be sound."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 @dataclass
-class Standing:
+class FaultInterval:
     """`kind` is dead, frozen, cut, disk or burst; `names` is one machine, or the two ends of a cut one way."""
 
     kind: str
@@ -17,20 +17,20 @@
     end_micros: int = ALWAYS
 
 
-class FaultBook:
+class FaultLog:
     def __init__(self) -> None:
-        self.standings: list[Standing] = []
+        self.intervals: list[FaultInterval] = []
         self.event_micros: list[int] = []
         self.machine_names: set[str] = set()
 
     def begin(self, kind: str, names: tuple[str, ...], at_micros: int) -> None:
-        self.standings.append(Standing(kind, names, at_micros))
+        self.intervals.append(FaultInterval(kind, names, at_micros))
         self.event_micros.append(at_micros)
 
     def end(self, kind: str, names: tuple[str, ...], at_micros: int) -> None:
-        for standing in self.standings:
-            if standing.kind == kind and standing.names == names and standing.end_micros == ALWAYS:
-                standing.end_micros = at_micros
+        for interval in self.intervals:
+            if interval.kind == kind and interval.names == names and interval.end_micros == ALWAYS:
+                interval.end_micros = at_micros
                 self.event_micros.append(at_micros)
 
     def disturb(self, at_micros: int) -> None:
@@ -46,12 +46,12 @@
         return name not in broken and not isolated
 
     def is_overloaded(self, at_micros: int) -> bool:
-        return any(s.kind == "burst" and s.start_micros <= at_micros < s.end_micros for s in self.standings)
+        return any(s.kind == "burst" and s.start_micros <= at_micros < s.end_micros for s in self.intervals)
 
     def froze_between(self, name: str, start_micros: int, end_micros: int) -> bool:
         return any(
             s.kind == "frozen" and s.names == (name,) and s.start_micros <= end_micros and s.end_micros >= start_micros
-            for s in self.standings
+            for s in self.intervals
         )
 
     def good_cores(self, at_micros: int, core_names: set[str]) -> set[str]:
@@ -91,5 +91,5 @@
         }
 
     def _state(self, at_micros: int) -> tuple[set[str], set[tuple[str, ...]]]:
-        now = [s for s in self.standings if s.start_micros <= at_micros < s.end_micros]
+        now = [s for s in self.intervals if s.start_micros <= at_micros < s.end_micros]
         return {s.names[0] for s in now if s.kind != "cut"}, {s.names for s in now if s.kind == "cut"}
--- a/src/pearhead/testbed/simulator/fleet.py
+++ b/src/pearhead/testbed/simulator/fleet.py
@@ -55,7 +55,7 @@
         self.deployment = deployment
         self.digest_every = digest_every
         self.ledger = Ledger(deployment)
-        self.book = self.ledger.book
+        self.fault_log = self.ledger.fault_log
         self.node_count = node_count or deployment.node_count
         self.worker_count = worker_count or deployment.worker_count
         self.cores: dict[str, CoreProcess] = {}
@@ -202,7 +202,7 @@
         self.world.cut(first_names, second_names, both_ways)
         pairs = sorted(self.world.cuts - before)
         for pair in pairs:
-            self.book.begin("cut", pair, self.world.now())
+            self.fault_log.begin("cut", pair, self.world.now())
         self._act("cut", pairs=[list(pair) for pair in pairs])
         return pairs
 
@@ -211,7 +211,7 @@
         self._act("mend", pairs=[list(pair) for pair in pairs])
         self.world.note(f"mends {len(pairs)} links")
         for pair in pairs:
-            self.book.end("cut", pair, self.world.now())
+            self.fault_log.end("cut", pair, self.world.now())
             self.world.cuts.discard(pair)
 
     async def replace_worker(self, name: str) -> None:
@@ -234,14 +234,14 @@
     def heal(self) -> None:
         self._act("heal")
         for pair in sorted(self.world.cuts):
-            self.book.end("cut", pair, self.world.now())
+            self.fault_log.end("cut", pair, self.world.now())
         self.world.heal()
 
     def start(self, name: str) -> None:
         self._act("start", name=name)
         self.known_dead.discard(name)
-        self.book.end("dead", (name,), self.world.now())
-        self.book.end("frozen", (name,), self.world.now())
+        self.fault_log.end("dead", (name,), self.world.now())
+        self.fault_log.end("frozen", (name,), self.world.now())
         if name.startswith("core-"):
             self.start_core(name)
             self._note_names()
@@ -255,7 +255,7 @@
         self._act("power" if loses_power else "kill", name=name)
         self.world.note(f"{'cuts the power of' if loses_power else 'kills'} {name}")
         if self._lives(name):
-            self.book.begin("dead", (name,), self.world.now())
+            self.fault_log.begin("dead", (name,), self.world.now())
         self.world.machine(name).crash(loses_power)
         process = self.cores.get(name) or self.nodes.get(name)
         if process is not None and hasattr(process, "courier"):
@@ -282,13 +282,13 @@
         self._act("freeze", name=name)
         self.world.note(f"freezes {name}")
         if not self.world.machine(name).is_frozen:
-            self.book.begin("frozen", (name,), self.world.now())
+            self.fault_log.begin("frozen", (name,), self.world.now())
         self.world.machine(name).freeze()
 
     def wake(self, name: str) -> None:
         self._act("wake", name=name)
         self.world.note(f"wakes {name}")
-        self.book.end("frozen", (name,), self.world.now())
+        self.fault_log.end("frozen", (name,), self.world.now())
         self.world.machine(name).wake()
 
     def set_disk(self, name: str, kind: str, is_on: bool) -> None:
@@ -300,13 +300,13 @@
         else:
             disk.is_full = is_on
         if is_on:
-            self.book.begin("disk", (name,), self.world.now())
+            self.fault_log.begin("disk", (name,), self.world.now())
         else:
-            self.book.end("disk", (name,), self.world.now())
+            self.fault_log.end("disk", (name,), self.world.now())
 
     def set_cast_loss(self, loss: float, double: float = 0.0) -> None:
         self.world.cast_loss, self.world.cast_double = loss, double
-        self.book.disturb(self.world.now())
+        self.fault_log.disturb(self.world.now())
 
     def lose_core(self, name: str) -> None:
         """Power and disk are gone for good."""
@@ -365,14 +365,14 @@
         await self.apply(build_description(self.deployment))
         await self.until(self._is_ready, "the fleet is up")
         self._note_names()
-        self.book.standings.clear()
-        self.book.event_micros.clear()
+        self.fault_log.intervals.clear()
+        self.fault_log.event_micros.clear()
         self.world.note("is up")
 
     def _note_names(self) -> None:
         self.ledger.core_names, self.ledger.node_names = set(self.cores), set(self.nodes)
         self.ledger.worker_names = set(self.present_workers())
-        self.book.machine_names = set(self.world.machines)
+        self.fault_log.machine_names = set(self.world.machines)
 
     def _is_ready(self) -> bool:
         for name, node in self.nodes.items():
@@ -436,14 +436,14 @@
                 call_task.add_done_callback(self.open_jobs.discard)
 
         if not self.burst_tasks:
-            self.book.begin("burst", ("callers",), self.world.now())
+            self.fault_log.begin("burst", ("callers",), self.world.now())
         self.burst_tasks.append(self.world.loop.create_task(burst()))
 
     def end_bursts(self) -> None:
         for burst_task in self.burst_tasks:
             burst_task.cancel()
         self.burst_tasks.clear()
-        self.book.end("burst", ("callers",), self.world.now())
+        self.fault_log.end("burst", ("callers",), self.world.now())
 
     def draw_transaction(self) -> bytes:
         return self.world.chance.randbytes(8)
--- a/src/pearhead/testbed/simulator/ledger.py
+++ b/src/pearhead/testbed/simulator/ledger.py
@@ -11,7 +11,7 @@
 from pearhead.runtime.clock import MILLI, SECOND
 from pearhead.testbed.caller import find_stream_faults
 from pearhead.testbed.deployment import Deployment
-from pearhead.testbed.simulator.faultbook import FaultBook
+from pearhead.testbed.simulator.fault_log import FaultLog
 from pearhead.testbed.simulator.history import History
 from pearhead.testbed.workermodel import RunRecord
 
@@ -64,7 +64,7 @@
     jobs: dict[str, JobTrace] = field(default_factory=dict)
     runs: list[tuple[str, RunRecord]] = field(default_factory=list)
     sends: dict[str, Send] = field(default_factory=dict)
-    book: FaultBook = field(default_factory=FaultBook)
+    fault_log: FaultLog = field(default_factory=FaultLog)
     core_names: set[str] = field(default_factory=set)
     node_names: set[str] = field(default_factory=set)
     worker_names: set[str] = field(default_factory=set)
@@ -150,7 +150,7 @@
     def begin_micros(self, worker: str, record: RunRecord) -> int:
         """When a run began; one that lay at a frozen worker counts from when its node let it go."""
         send = self.sends.get(record.upstream_id)
-        if send is not None and self.book.froze_between(worker, send.at_micros, record.at_micros):
+        if send is not None and self.fault_log.froze_between(worker, send.at_micros, record.at_micros):
             return send.at_micros
         return record.at_micros
 
@@ -227,7 +227,7 @@
     def _was_sound(self, start_micros: int, end_micros: int) -> bool:
         """Whether a node and a majority of cores stood all the time, and no fault came or went in it."""
         return (
-            self.book.is_quiet(end_micros, end_micros - start_micros)
+            self.fault_log.is_quiet(end_micros, end_micros - start_micros)
             and end_micros < self.end_micros
             and bool(self.sound_nodes(start_micros))
         )
@@ -236,7 +236,7 @@
         return any(t.outcome == "done" and t.sent_micros > from_micros for t in self.jobs.values())
 
     def sound_nodes(self, at_micros: int) -> set[str]:
-        return self.book.sound_nodes(at_micros, self.node_names, self.core_names, self.worker_names)
+        return self.fault_log.sound_nodes(at_micros, self.node_names, self.core_names, self.worker_names)
 
     def _check_leaving(self) -> list[str]:
         faults = []
@@ -279,7 +279,7 @@
             highest[worker] = max(highest.get(worker, 0), fence)
             if holders.setdefault((worker, fence), node) != node:
                 faults.append(f"{worker}: fence {fence} used by two holders")
-            is_held_up = self.book.froze_between(worker, command.sent_micros, command.at_micros)
+            is_held_up = self.fault_log.froze_between(worker, command.sent_micros, command.at_micros)
             begin_micros = command.sent_micros if is_held_up else command.at_micros
             for (other_worker, other_fence), (_, grant_micros) in self.grants.items():
                 if other_worker == worker and other_fence > fence and grant_micros < begin_micros:
@@ -302,14 +302,14 @@
 
     def _must_serve(self, trace: JobTrace) -> bool:
         for_micros = RECOVERY_MICROS + trace.end_micros - trace.sent_micros
-        is_quiet = trace.outcome != "open" and self.book.is_quiet(trace.end_micros, for_micros)
+        is_quiet = trace.outcome != "open" and self.fault_log.is_quiet(trace.end_micros, for_micros)
         return is_quiet and self._has_somewhere_to_go(trace)
 
     def _has_somewhere_to_go(self, trace: JobTrace) -> bool:
         """At a sound node, or at none, as none took connections while some should have."""
-        if self.book.is_overloaded(trace.sent_micros):
+        if self.fault_log.is_overloaded(trace.sent_micros):
             return False
-        if trace.job["kind"] == "notice" and not self.book.stands("desk", trace.sent_micros):
+        if trace.job["kind"] == "notice" and not self.fault_log.stands("desk", trace.sent_micros):
             return False  # There is one application worker.
         sound_nodes = self.sound_nodes(trace.sent_micros)
         return trace.node in sound_nodes or (not trace.node and bool(sound_nodes))
@@ -385,7 +385,7 @@
                 if (
                     trace.tenant == tenant
                     and is_late
-                    and not self.book.froze_between(trace.node, trace.sent_micros, trace.end_micros)
+                    and not self.fault_log.froze_between(trace.node, trace.sent_micros, trace.end_micros)
                 ):
                     faults.append(
                         f"{trace.job['jobId']} at {trace.node} was told {trace.outcome} "
@@ -407,7 +407,7 @@
 
     def recovery_micros(self) -> int | None:
         """The worst, over faults that came or went, from there to the last failure before the next one."""
-        times = sorted(set(self.book.event_micros))
+        times = sorted(set(self.fault_log.event_micros))
         worst: int | None = None
         for start_micros, next_micros in zip(times, [*times[1:], self.end_micros], strict=False):
             bad = [
--- a/src/pearhead/testbed/simulator/striker.py
+++ b/src/pearhead/testbed/simulator/striker.py
@@ -49,7 +49,7 @@
             "node": sorted(self.fleet.nodes),
             "worker": self.fleet.present_workers(),
         }
-        names = [n for n in held[role] if self.fleet.book.stands(n, self.world.now()) and n not in self.leaving]
+        names = [n for n in held[role] if self.fleet.fault_log.stands(n, self.world.now()) and n not in self.leaving]
         return names[strike.pick % len(names)] if names else held[role][0]
 
     async def _kill(self, strike: Strike, names: list[str], loses_power: bool = False) -> None:
@@ -123,7 +123,7 @@
     async def _play_cores_slow(self, strike: Strike) -> None:
         for name in sorted(self.fleet.cores):
             self.world.machine(name).disk.slowness = 10
-        self.fleet.book.disturb(self.world.now())
+        self.fleet.fault_log.disturb(self.world.now())
         await self._last(strike, self._quicken)
 
     def _quicken(self) -> None:
@@ -206,10 +206,10 @@
         pace = self.fleet.paces[self._name("worker", strike)]
         held = (pace.prefill_micros, pace.line_micros, pace.long_line_micros)
         pace.prefill_micros, pace.line_micros, pace.long_line_micros = (3 * micros for micros in held)
-        self.fleet.book.disturb(self.world.now())
+        self.fleet.fault_log.disturb(self.world.now())
         await pause(self.world, strike.lasts_micros)
         pace.prefill_micros, pace.line_micros, pace.long_line_micros = held
-        self.fleet.book.disturb(self.world.now())
+        self.fleet.fault_log.disturb(self.world.now())
 
     async def _play_worker_hangs(self, strike: Strike) -> None:
         await self._spoil_load(strike, "hangs")
@@ -223,7 +223,7 @@
         await self._name_weights()
         await pause(self.world, strike.lasts_micros)
         model.load_fault = ""
-        self.fleet.book.disturb(self.world.now())
+        self.fleet.fault_log.disturb(self.world.now())
 
     async def _play_worker_silent(self, strike: Strike) -> None:
         model = self.fleet.worker(self._name("worker", strike))
