Give names of the router's main, config and discovery modules standard forms

Cause: names of the withdrawn house style. LatheCommand -> RouterCommand, open_door -> start_accepting, end_with -> exit_with_faults, read_description_gently(breathe) -> read_description_in_chunks(pause), PIECE_SIZE -> CHUNK_SIZE (config/description, and its use in control_plane/change), _nominate_targets -> _choose_targets, FRIEND_COUNT -> PEER_COUNT.

Ruled out: wire messages, stored fields and operators' fields; none is renamed. A search for the old names in src, tests, docs, platform and deploy finds none.

The whole suite was not run.

Conclusion: behaviour is the same.

--- a/src/pearhead/config/description.py
+++ b/src/pearhead/config/description.py
@@ -15,7 +15,7 @@
 MAXIMUM_DESCRIPTION = 8 * 1024 * 1024
 MAXIMUM_CHANGE = 15 * 1024 * 1024
 EVERY_TENANT = "*"
-PIECE_SIZE = 200
+CHUNK_SIZE = 200
 
 
 @dataclass(frozen=True)
@@ -120,7 +120,7 @@
 
 
 @dataclass(frozen=True)
-class _EntryPiece:
+class _EntryChunk:
     entries: list[CapabilityEntry]
 
 
@@ -144,10 +144,10 @@
     return _with_faults(checked)
 
 
-async def read_description_gently(
-    description_bytes: bytes, breathe: Callable[[], Awaitable[None]]
+async def read_description_in_chunks(
+    description_bytes: bytes, pause: Callable[[], Awaitable[None]]
 ) -> Result[Description, list[str]]:
-    """The same check in pieces, so that a core goes on answering meanwhile."""
+    """The same check in chunks, with a `pause` after each, so that a core goes on answering meanwhile."""
     parsed = _parse(description_bytes)
     if isinstance(parsed, Err):
         return parsed
@@ -156,11 +156,11 @@
         return _with_faults(read_checked(Description, data))
     all_entries = data.get("entries", [])
     faults: list[str] = []
-    for start in range(0, len(all_entries), PIECE_SIZE):
-        piece = read_checked(_EntryPiece, {"entries": all_entries[start : start + PIECE_SIZE]})
-        if isinstance(piece, Err):
-            faults.extend(_shift(fault, start) for fault in piece.err_value)
-        await breathe()
+    for start in range(0, len(all_entries), CHUNK_SIZE):
+        chunk = read_checked(_EntryChunk, {"entries": all_entries[start : start + CHUNK_SIZE]})
+        if isinstance(chunk, Err):
+            faults.extend(_shift(fault, start) for fault in chunk.err_value)
+        await pause()
     rest = read_checked(Description, {**data, "entries": []})
     faults.extend(rest.err_value if isinstance(rest, Err) else [])
     return Err(faults) if faults else _with_faults(Ok(build_checked(data)))
--- a/src/pearhead/config/startup.py
+++ b/src/pearhead/config/startup.py
@@ -123,7 +123,7 @@
     return "\n".join(lines)
 
 
-def end_with(program_name: str, faults: list[str]) -> None:
+def exit_with_faults(program_name: str, faults: list[str]) -> None:
     """One clear line a fault, a non-zero exit, no traceback."""
     for fault in faults:
         print(f"{program_name}: {fault}", file=sys.stderr)
--- a/src/pearhead/control_plane/change.py
+++ b/src/pearhead/control_plane/change.py
@@ -17,8 +17,8 @@
 
 from pearhead.config.checked import read_checked
 from pearhead.config.description import (
+    CHUNK_SIZE,
     MAXIMUM_CHANGE,
-    PIECE_SIZE,
     CapabilityEntry,
     Description,
     Limits,
@@ -212,7 +212,7 @@
         route_check = RouteCheck({s["name"]: s["role"] for s in merged.get("services", [])})
         for position, (name, (shown, _)) in enumerate(routes.items()):
             path = f"routes[{position}]"
-            if position % PIECE_SIZE == PIECE_SIZE - 1:
+            if position % CHUNK_SIZE == CHUNK_SIZE - 1:
                 await self.breathe()
             try:
                 data: Any = json.loads(shown)
--- a/src/pearhead/control_plane/core.py
+++ b/src/pearhead/control_plane/core.py
@@ -13,7 +13,7 @@
 from google.protobuf.message import Message
 from result import Err, Result
 
-from pearhead.config.description import read_description_gently
+from pearhead.config.description import read_description_in_chunks
 from pearhead.config.startup import Startup
 from pearhead.consensus.raft import RaftMember
 from pearhead.consensus.wal import Wal
@@ -314,7 +314,7 @@
         if command.WhichOneof("body") == "hold":
             self._judge_hold(command)
         elif command.WhichOneof("body") == "apply":
-            checked = await read_description_gently(command.apply.description, self._breathe)
+            checked = await read_description_in_chunks(command.apply.description, self._breathe)
             if isinstance(checked, Err):
                 return CommandResult(status="refused", body=to_body({"faults": checked.err_value}))
         elif command.WhichOneof("body") == "change":
--- a/src/pearhead/control_plane/main.py
+++ b/src/pearhead/control_plane/main.py
@@ -13,7 +13,7 @@
 from tornado.httpserver import HTTPServer
 
 from pearhead.config.description import MAXIMUM_DESCRIPTION
-from pearhead.config.startup import Startup, end_with, read_startup, startup_help
+from pearhead.config.startup import Startup, exit_with_faults, read_startup, startup_help
 from pearhead.consensus.wal import WalCorruptError
 from pearhead.control_plane.core import CoreProcess
 from pearhead.control_plane.events import EventTeller, http_post
@@ -80,7 +80,7 @@
             return None
         checked = read_startup(startup, flags, needs_folder=True)
         if isinstance(checked, Err):
-            return end_with("control_plane", checked.err_value)
+            return exit_with_faults("control_plane", checked.err_value)
         open_logs(checked.ok_value.logLevel)
         raise SystemExit(asyncio.run(_serve(checked.ok_value)))
 
@@ -88,7 +88,7 @@
         """Looks at a data folder, read-only: log, digests, epochs, members. Non-zero if it is damaged."""
         folder_path = Path(folder)
         if not folder_path.is_dir():
-            return end_with("control_plane", [f"{folder}: no such folder"])
+            return exit_with_faults("control_plane", [f"{folder}: no such folder"])
         reader = FolderReader(folder_path)
         report = asyncio.run(reader.read())
         print(reader.text(report))
@@ -100,10 +100,10 @@
         try:
             disk = FolderDisk(Path(folder))
         except (FolderBusyError, OSError) as fault:
-            return end_with("control_plane", [str(fault)])
+            return exit_with_faults("control_plane", [str(fault)])
         outcome = asyncio.run(Rescue(disk).run(str(identity), address, consent))
         if isinstance(outcome, Err):
-            return end_with("control_plane", [outcome.err_value])
+            return exit_with_faults("control_plane", [outcome.err_value])
         print(f"control_plane: core {identity} is the only voter from entry {outcome.ok_value} on")
 
     def check(self, startup: str = "", **flags: Any) -> None:
@@ -113,7 +113,7 @@
             return None
         checked = read_startup(startup, flags, needs_folder=True)
         if isinstance(checked, Err):
-            return end_with("control_plane", checked.err_value)
+            return exit_with_faults("control_plane", checked.err_value)
         print("control_plane: the startup is sound")
 
 
--- a/src/pearhead/discovery/directory.py
+++ b/src/pearhead/discovery/directory.py
@@ -13,7 +13,7 @@
 
 HELLO_MICROS = SECOND
 LIFETIME_MICROS = 5 * SECOND
-FRIEND_COUNT = 2
+PEER_COUNT = 2
 RECORD_LIMIT = 1_000
 CACHE_MICROS = 200_000
 
@@ -80,7 +80,7 @@
     async def run(self) -> None:
         round_number = 0
         while True:
-            target_addresses = self._nominate_targets()
+            target_addresses = self._choose_targets()
             known_hash = self._known_hash()
             for position, target_address in enumerate(target_addresses):
                 # All are told of this process; one in turn is asked what it knows (§3.2).
@@ -91,12 +91,12 @@
             round_number += 1
             await rest(self.clock, HELLO_MICROS)
 
-    def _nominate_targets(self) -> list[str]:
+    def _choose_targets(self) -> list[str]:
         core_addresses = [r.address for r in self.members("control_plane")]
         other_addresses = [r.address for r in self.members() if r.role != "control_plane"]
-        friend_addresses = self.chance.sample(other_addresses, min(FRIEND_COUNT, len(other_addresses)))
+        peer_addresses = self.chance.sample(other_addresses, min(PEER_COUNT, len(other_addresses)))
         # Seeds serve first contact only (§3.2).
-        return (core_addresses or self.seed_addresses) + friend_addresses
+        return (core_addresses or self.seed_addresses) + peer_addresses
 
     def _aged_records(self) -> list[Record]:
         """A relay adds its holding time, so no record lives longer for being passed on."""
--- a/src/pearhead/router/main.py
+++ b/src/pearhead/router/main.py
@@ -11,7 +11,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from pearhead.config.startup import Startup, end_with, read_startup, startup_help
+from pearhead.config.startup import Startup, exit_with_faults, read_startup, startup_help
 from pearhead.router.front import build_front
 from pearhead.router.node import NodeProcess
 from pearhead.router.tornadocarrier import TornadoCarrier, TornadoWorkerLink
@@ -41,11 +41,11 @@
         return 2
     node.start()
 
-    async def open_door() -> None:
+    async def start_accepting() -> None:
         await node.wait_open()
         server.add_sockets(bound_sockets)
 
-    node.crew.start(open_door())
+    node.crew.start(start_accepting())
 
     async def drain() -> None:
         server.stop()
@@ -57,7 +57,7 @@
     return status
 
 
-class LatheCommand:
+class RouterCommand:
     """A front node of pearhead."""
 
     def run(self, startup: str = "", **flags: Any) -> None:
@@ -67,7 +67,7 @@
             return None
         checked = read_startup(startup, flags, needs_folder=False)
         if isinstance(checked, Err):
-            return end_with("router", checked.err_value)
+            return exit_with_faults("router", checked.err_value)
         open_logs(checked.ok_value.logLevel)
         raise SystemExit(asyncio.run(_serve(checked.ok_value)))
 
@@ -78,12 +78,12 @@
             return None
         checked = read_startup(startup, flags, needs_folder=False)
         if isinstance(checked, Err):
-            return end_with("router", checked.err_value)
+            return exit_with_faults("router", checked.err_value)
         print("router: the startup is sound")
 
 
 def main() -> None:
-    run_command(LatheCommand, "router")
+    run_command(RouterCommand, "router")
 
 
 if __name__ == "__main__":
--- a/src/pearhead/testbed/capacity/hollow_nodes.py
+++ b/src/pearhead/testbed/capacity/hollow_nodes.py
@@ -17,7 +17,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
-from pearhead.discovery.directory import FRIEND_COUNT, HELLO_MICROS, Directory
+from pearhead.discovery.directory import HELLO_MICROS, PEER_COUNT, Directory
 from pearhead.router.term import TermKeeper
 from pearhead.rpc.courier import Courier
 from pearhead.rpc.wire_pb2 import Envelope, Hello, HelloResult, Record
@@ -127,8 +127,8 @@
     def _greet(self, round_number: int) -> None:
         cores = [r.address for r in self.directory.members("control_plane")]
         others = [r.address for r in self.directory.members("router") if r.address != self.record.address]
-        friends = self.chance.sample(others, min(FRIEND_COUNT, len(others)))
-        targets = (cores or self.directory.seed_addresses) + friends
+        peers = self.chance.sample(others, min(PEER_COUNT, len(others)))
+        targets = (cores or self.directory.seed_addresses) + peers
         for position, address in enumerate(targets):
             is_asked = position == round_number % len(targets)
             hello = Hello(known_hash=self.directory.known_hash if is_asked else "", wants_known=is_asked)
--- a/tests/test_config_description.py
+++ b/tests/test_config_description.py
@@ -6,10 +6,10 @@
 import json
 import unittest
 
-from pearhead.config.description import MAXIMUM_DESCRIPTION, read_description, read_description_gently
+from pearhead.config.description import MAXIMUM_DESCRIPTION, read_description, read_description_in_chunks
 
 
-async def _no_breath() -> None:
+async def _do_nothing() -> None:
     return None
 
 
@@ -41,9 +41,9 @@
                 ]
             ),
         )
-        gently = asyncio.run(read_description_gently(json.dumps(data).encode(), _no_breath))
-        self.assertEqual(gently.unwrap_err(), faults)
+        in_chunks = asyncio.run(read_description_in_chunks(json.dumps(data).encode(), _do_nothing))
+        self.assertEqual(in_chunks.unwrap_err(), faults)
         many = {**data, "entries": [{}] * 450 + [{"name": 5}]}
-        shifted = asyncio.run(read_description_gently(json.dumps(many).encode(), _no_breath)).unwrap_err()
+        shifted = asyncio.run(read_description_in_chunks(json.dumps(many).encode(), _do_nothing)).unwrap_err()
         self.assertIn("entries[450].name: must be str, not int", shifted)
         self.assertIn("over", read_description(b" " * (MAXIMUM_DESCRIPTION + 1)).unwrap_err()[0])
--- a/tests/test_discovery_directory.py
+++ b/tests/test_discovery_directory.py
@@ -46,6 +46,6 @@
         self.assertEqual(self.directory.members(), [])
 
     def test_seeds_are_asked_only_while_no_core_is_known(self) -> None:
-        self.assertEqual(self.directory._nominate_targets(), ["seed:1"])
+        self.assertEqual(self.directory._choose_targets(), ["seed:1"])
         self.hear("core", "c:1", 0)
-        self.assertEqual(self.directory._nominate_targets(), ["c:1"])
+        self.assertEqual(self.directory._choose_targets(), ["c:1"])
