Failing tests: a whole number of weights, and deadlines that are none

X-Deadline "inf" raises OverflowError, which ends the connection with no answer; "0" counts as no deadline, so a worker is handed the route's whole time. Ruled out: keys, prompts and ids of clients reach workers unchanged, kept-part headers of clients never do, isolated tenants share no salt, shares of a split lie within 0.03 over 3,000 ids, second sends end with the first, and a node that knows nothing says 503: these tests of the same file pass.

--- /dev/null
+++ b/tests/test_news_requests.py
@@ -0,0 +1,253 @@
+"""Lines of the platform's newest pages on requests and answers that no other test brings about (docs/failures.md)."""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from tornado.httputil import HTTPHeaders
+
+from pearhead.config.description import Description, Route, Service, Split, Tenant
+from pearhead.config.view import View
+from pearhead.router.errors import ErrorKind
+from pearhead.router.event_stream import EventSplitter
+from pearhead.router.fleet_budget import FleetBudget
+from pearhead.router.gate import Gate, hash_key
+from pearhead.router.load_book import LoadBook
+from pearhead.router.opaque import Directions, OpaqueRequest, PromptPart
+from pearhead.router.part_salt import PartSalt
+from pearhead.router.placer import Placer
+from pearhead.router.roster import Roster
+from pearhead.router.version_book import VersionBook
+from pearhead.router.worker_control import Backend
+from pearhead.runtime.bench import Bench
+from pearhead.runtime.clock import MILLI, SECOND
+from tests.test_gate import HEAD, FakeCall, FakeCurrent, FakeDialect, FakePen, FakePlacer, FakePool, make_view
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
+from front import PlatformDialect  # noqa: E402
+from translation import _Item, _read_tenant  # noqa: E402
+
+SENT = {"X-Request-Id": "r1", "X-Model": "m", "X-Token-Count": "30,5", "X-Prompt-Prefix": "a1:20,b2:10"}
+DIRECTIONS = Directions(800 * MILLI, "i-1", tenant="t")
+
+
+def read(headers: dict[str, str]) -> OpaqueRequest:
+    return PlatformDialect().read("POST", "/a/x", HTTPHeaders(headers), b"", 0).unwrap()
+
+
+def outgoing(headers: dict[str, str], directions: Directions = DIRECTIONS) -> HTTPHeaders:
+    return PlatformDialect().outgoing_headers(read(headers), directions)
+
+
+class DialectTest(unittest.TestCase):
+    def test_what_names_a_request_and_its_prompt_reaches_the_worker_as_the_client_sent_it(self) -> None:
+        sent = {**SENT, "X-Prompt-Prefix": "A1:20,  b2:10", "X-Request-Id": "R1 -x"}
+        given = outgoing(sent)
+        self.assertEqual({name: given[name] for name in sent}, sent)
+
+    def test_no_word_of_a_client_on_kept_parts_reaches_a_worker(self) -> None:
+        own = {"X-Cache-Salt": "other", "X-Cache-Source": "10.0.0.1:1", "X-Cache-Target": "10.0.0.2:1"}
+        self.assertEqual(set(own) & set(outgoing({**SENT, **own})), set())
+        told = outgoing({**SENT, **own}, Directions(SECOND, "i-1", salt="ours"))
+        self.assertEqual(told["X-Cache-Salt"], "ours")
+        self.assertEqual({"X-Cache-Source", "X-Cache-Target"} & set(told), set())
+
+    def test_the_version_of_an_answer_is_a_whole_number_of_the_requests_model(self) -> None:
+        def versions(text: str, sent: dict[str, str]) -> dict[str, int]:
+            headers = HTTPHeaders({"X-Request-Id": "r1", "X-Weight-Versions": text})
+            return dict(PlatformDialect().read_head(read(sent), DIRECTIONS, 200, "", headers).versions)
+
+        self.assertEqual(versions("7", SENT), {"m": 7})
+        self.assertEqual(versions(" 12 ", SENT), {"m": 12})
+        self.assertEqual(versions("7", {"X-Request-Id": "r1"}), {}, "of which model is not told")
+        for unreadable in ("", "x", "-1", "1.5", "m=", "²"):
+            self.assertEqual(versions(unreadable, SENT), {}, unreadable)
+
+    def test_no_deadline_of_a_client_is_an_exception_or_counts_as_none(self) -> None:
+        for text in ("inf", "-inf", "nan", "1e400", "soon"):
+            given = PlatformDialect().read("GET", "/", HTTPHeaders({**SENT, "X-Deadline": text}), b"", 0)
+            self.assertTrue(given.is_err(), text)
+            self.assertIs(given.unwrap_err().kind, ErrorKind.MALFORMED, text)
+        for text in ("0", "0.0001", "-5"):
+            wait_micros = read({**SENT, "X-Deadline": text}).wait_micros
+            self.assertTrue(wait_micros and wait_micros < MILLI, f"{text}: as if none was told")
+        self.assertEqual(read(SENT).wait_micros, 0)
+
+    def test_an_event_that_names_a_version_first_is_passed_on_and_counted_by_its_id(self) -> None:
+        events = [b"id: 1\ndata: a\n\n", b"x-weight-versions: 3\nid: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(events[0] + events[1] + events[2][:5]), events[0] + events[1])
+        self.assertEqual(splitter.last_id, "2")
+        splitter.go_on_elsewhere()
+        self.assertEqual(splitter.feed(b"".join(events)), events[2], "neither a hole nor a repeat")
+
+
+class SaltTest(unittest.TestCase):
+    """WALL: what an isolated tenant's requests are kept under is found by no other's."""
+
+    def salts(self, *isolated: bool) -> list[str]:
+        tenants = []
+        for number, is_isolated in enumerate(isolated):
+            item = _read_tenant(_Item({"Name": f"t{number}", "Keys": [], "Isolated": is_isolated}, "Tenants"))
+            tenants.append(Tenant(item["name"], [], group=item["group"]))
+        view = View()
+        view.__dict__["description"] = Description(tenants=tenants)
+        listener: Any = FakeListener()
+        parts = [PromptPart("a1", 20), PromptPart("b2", 10)]
+        given = [PartSalt(listener).salt(view, tenant, "m", 1, parts).text for tenant in [*tenants, None]]
+        self.assertNotIn("", given, "without a salt, all share")
+        return given
+
+    def test_an_isolated_tenant_shares_with_nobody(self) -> None:
+        first, second, third, fourth, nobody = self.salts(False, False, True, True)
+        self.assertEqual(first, second)
+        self.assertEqual(len({first, third, fourth, nobody}), 4)
+
+    def test_who_becomes_isolated_finds_nothing_that_was_shared_and_leaves_nothing(self) -> None:
+        shared, apart = self.salts(False, False), self.salts(False, True)
+        self.assertNotIn(apart[1], shared)
+        self.assertNotIn(apart[0], shared, "the others don't use what it made while it shared")
+
+
+class FakeListener:
+    def revision_of(self, owner: str, line: str, part: int) -> int | None:
+        return 1
+
+    def last_revision_of(self, owner: str, line: str, part: int) -> int:
+        return 1
+
+
+class SharesTest(unittest.TestCase):
+    """Duty and CONFIG: the parts of a split get their shares of the requests."""
+
+    COUNT = 3_000
+    BOUND = 0.03
+
+    def placer(self, *services: str) -> Placer:
+        backends = {f"w-{name}": Backend(f"w-{name}", "10.0.0.1:1", "z", name, 8) for name in services}
+        unused: Any = None
+        bench = Bench()
+        roster = Roster(backends)
+        loads = LoadBook(bench)
+        return Placer(bench, "z", lambda: roster, VersionBook(bench), unused, loads, unused, lambda *given: True)
+
+    def shares(self, splits: list[Split], ready: tuple[str, ...], excluded: frozenset[str]) -> dict[str, float]:
+        names = [split.service for split in splits]
+        route = Route("r", "h", "/a/", splits, SECOND)
+        view = View()
+        view.__dict__["description"] = Description(
+            services=[Service(name, "application") for name in dict.fromkeys(names)], routes=[route]
+        )
+        placer = self.placer(*ready)
+        counts = dict.fromkeys(names, 0)
+        for number in range(self.COUNT):
+            request = OpaqueRequest(f"{number:016x}", "GET", "/a/", "h", "/a/", HTTPHeaders(), b"", 0)
+            counts[placer.choose(view, route, request, None, excluded).unwrap().service] += 1
+        return {name: count / self.COUNT for name, count in counts.items()}
+
+    def assert_shares(self, splits: list[Split], **wanted: float) -> None:
+        given = self.shares(splits, tuple(split.service for split in splits), frozenset())
+        for name, share in wanted.items():
+            self.assertAlmostEqual(given[name], share, delta=self.BOUND, msg=str(splits))
+
+    def test_each_part_gets_its_share(self) -> None:
+        self.assert_shares([Split("a", 90), Split("b", 10)], a=0.9, b=0.1)
+        self.assert_shares([Split("a", 1), Split("b", 1), Split("c", 2)], a=0.25, b=0.25, c=0.5)
+        self.assert_shares([Split("a", 0), Split("b", 5)], a=0, b=1)
+        self.assert_shares([Split("a", 300_000), Split("b", 700_000)], a=0.3, b=0.7)
+        self.assert_shares([Split("a", 60), Split("b", 30), Split("a", 10)], a=0.7, b=0.3)
+
+    def test_what_one_part_cannot_run_goes_to_the_others_and_to_none_with_a_share_of_zero(self) -> None:
+        splits = [Split("a", 50), Split("b", 50), Split("c", 0)]
+        self.assertEqual(self.shares(splits, ("b", "c"), frozenset()), {"a": 0, "b": 1, "c": 0})
+        self.assertEqual(self.shares(splits, ("a", "b", "c"), frozenset({"w-a"})), {"a": 0, "b": 1, "c": 0})
+
+
+class HandedTimeTest(unittest.IsolatedAsyncioTestCase):
+    """BUDGET: what a worker is told to have is never longer than the client's, also when it is sent once more."""
+
+    async def ends(self, client_micros: int, turned_away_after_micros: int) -> list[int]:
+        bench, dialect = Bench(), TimingDialect()
+        turned_away = SlowCall(bench, turned_away_after_micros, (503, "", HTTPHeaders()))
+        pool: Any = FakePool([turned_away, FakeCall(HEAD, (b"ok",))])
+        placer: Any = FakePlacer()
+        route = Route("r", "h", "/a/", [Split("s", 1)], 4 * SECOND, tries=2)
+        view = make_view()
+        view.__dict__["description"] = Description(tenants=view.description.tenants, routes=[route])
+        budget = FleetBudget(bench, 0.2, 50, 10 * SECOND)
+        gate = Gate(
+            bench,
+            FakeCurrent(view),
+            placer,
+            LoadBook(bench),
+            pool,
+            budget,
+            dialect,
+            lambda: 1,
+            lambda worker, head: None,
+        )
+        request = OpaqueRequest(
+            "id", "POST", "/a/x", "h", "/a/x", HTTPHeaders(), b"", bench.now(), hash_key("k"), client_micros
+        )
+        began_micros = bench.now()
+        pen = FakePen()
+        dialect.note = lambda left_micros: dialect.ends.append(bench.now() + left_micros - began_micros)
+        await gate.serve(request, pen)
+        self.assertEqual(pen.status, 200)
+        return dialect.ends
+
+    async def test_each_send_ends_with_the_client(self) -> None:
+        for client_micros in (0, 3 * SECOND, 9 * SECOND):
+            end_micros = min(client_micros or 4 * SECOND, 4 * SECOND)
+            self.assertEqual(await self.ends(client_micros, 700 * MILLI), [end_micros, end_micros])
+
+
+class TimingDialect(FakeDialect):
+    def __init__(self) -> None:
+        self.ends: list[int] = []
+        self.note: Callable[[int], None] = lambda left_micros: None
+
+    def outgoing_headers(self, request: OpaqueRequest, directions: Directions) -> HTTPHeaders:
+        self.note(directions.left_micros)
+        return super().outgoing_headers(request, directions)
+
+
+class SlowCall(FakeCall):
+    """Answers after a while."""
+
+    def __init__(self, bench: Bench, after_micros: int, head: Any) -> None:
+        super().__init__(head)
+        self.bench = bench
+        self.after_micros = after_micros
+
+    async def head(self, limit_micros: int) -> Any:
+        self.bench.now_micros += self.after_micros
+        return await super().head(limit_micros)
+
+
+class UnknownConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    """DENIED: who knows no configuration says 503, whatever is asked for."""
+
+    async def test_no_key_and_no_route_is_refused_by_a_node_that_knows_nothing(self) -> None:
+        for key, path in (("k", "/a/x"), ("wrong", "/a/x"), ("", "/a/x"), ("k", "/nowhere")):
+            bench, pen = Bench(), FakePen()
+            unused: Any = None
+            placer: Any = FakePlacer()
+            gate = Gate(
+                bench,
+                FakeCurrent(None),
+                placer,
+                LoadBook(bench),
+                unused,
+                unused,
+                FakeDialect(),
+                lambda: 1,
+                lambda worker, head: None,
+            )
+            request = OpaqueRequest("id", "GET", path, "h", path, HTTPHeaders(), b"", 0, hash_key(key) if key else "")
+            await gate.serve(request, pen)
+            self.assertEqual((pen.status, pen.end), (503, "whole"), (key, path))
