--- a/tests/test_news_requests.py
+++ b/tests/test_news_requests.py
@@ -67,6 +67,11 @@
         for unreadable in ("", "x", "-1", "1.5", "m=", "²"):
             self.assertEqual(versions(unreadable, SENT), {}, unreadable)
 
+    def test_another_worker_at_an_address_tells_no_version_of_the_one_that_was_meant(self) -> None:
+        for instance, versions in (("i-1", {"m": 7}), ("i-2", {})):
+            headers = HTTPHeaders({"X-Weight-Versions": "7", "X-Instance": instance})
+            self.assertEqual(PlatformDialect().read_head(read(SENT), DIRECTIONS, 421, "", headers).versions, versions)
+
     def test_no_deadline_of_a_client_is_an_exception_or_counts_as_none(self) -> None:
         for text in ("inf", "-inf", "nan", "1e400", "soon"):
             given = PlatformDialect().read("GET", "/", HTTPHeaders({**SENT, "X-Deadline": text}), b"", 0)
