Tests of the age of what front nodes decide by; a failing one on the count of nodes

Cause: FleetBudget reckons a node's share by GatewayProcess._node_count, which counts records of the directory; they end 5 s after a cut, and the node serves on for 60 s. So each side of a cut spends the whole fleet's further tries. Ruled out: a view is served by no longer than 60 s after it was confirmed and not before there is a configuration; old weights are used for their time from when the node last knew of no newer ones, which a later naming does not renew.

--- /dev/null
+++ b/tests/test_fresh_state.py
@@ -0,0 +1,108 @@
+"""What a front node decides by is not older than it may be at the moment of use (docs/incidents/issue-20-sweep.md)."""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+from typing import Any
+
+from pearhead.config.startup import Startup
+from pearhead.config.view import View
+from pearhead.router.fleet_budget import FleetBudget
+from pearhead.router.gateway import GatewayProcess, GatewaySettings
+from pearhead.router.weights_clock import WeightsClock
+from pearhead.rpc.wire_pb2 import Record
+from pearhead.runtime.bench import Bench
+from pearhead.runtime.clock import SECOND
+
+NODE_COUNT = 9
+WINDOW_MICROS = 10 * SECOND
+SLACK = 58
+SERVE_ON_MICROS = 60 * SECOND
+OLD_MICROS = 6 * SECOND
+
+
+def make_gateway(bench: Bench) -> GatewayProcess:
+    startup = Startup(address="a:1", httpAddress="a:2", area="a", seeds=["s:1"], oldWeightsMicros=OLD_MICROS)
+    unused: Any = None
+    settings = GatewaySettings(serve_on_micros=SERVE_ON_MICROS)
+    return GatewayProcess(startup, settings, bench, bench, unused, unused, random.Random(1))
+
+
+def make_view(number: int, **weights: int) -> View:
+    body = json.dumps({"revision": number, "number": number, "description": {}}).encode()
+    view = View(number, {**View().sections, "description": (number, body)})
+    facts = {line: WeightsFact(str(version), version) for line, version in weights.items()}
+    view.__dict__.update(weights=facts, number=number)
+    return view
+
+
+class WeightsFact:
+    def __init__(self, weights: str, revision: int) -> None:
+        self.weights = weights
+        self.revision = revision
+
+
+class ViewAgeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_view_is_served_by_for_a_bounded_time_after_it_was_confirmed(self) -> None:
+        bench = Bench()
+        gateway = make_gateway(bench)
+        self.assertIsNone(gateway.view(), "nothing was confirmed yet")
+        gateway.keeper.view, gateway.keeper.current_at = make_view(0), bench.now()
+        gateway.keeper.has_view = True
+        self.assertIsNone(gateway.view(), "confirmed, and no configuration was taken yet")
+        gateway.keeper.view = make_view(3)
+        self.assertIsNotNone(gateway.view())
+        bench.now_micros += SERVE_ON_MICROS
+        self.assertIsNotNone(gateway.view())
+        bench.now_micros += 1
+        self.assertIsNone(gateway.view())
+        self.assertFalse(gateway.is_ready())
+
+
+class WeightsAgeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_old_weights_are_used_for_a_bounded_time_from_before_their_successors_naming(self) -> None:
+        bench = Bench()
+        keeper = make_gateway(bench).keeper
+        clock = WeightsClock(bench, keeper, OLD_MICROS)
+        self.assertTrue(clock.may_use(make_view(1, m=1), "m", 1))
+        known_current_micros = bench.now()
+        bench.now_micros += 2 * SECOND
+        keeper.named_after["m", 2] = known_current_micros
+        named = make_view(2, m=2)
+        self.assertTrue(clock.may_use(named, "m", 1))
+        bench.now_micros = known_current_micros + OLD_MICROS - 1
+        self.assertTrue(clock.may_use(named, "m", 1))
+        bench.now_micros += 1
+        self.assertFalse(clock.may_use(named, "m", 1), "counted from when the node last knew of no newer ones")
+        self.assertTrue(clock.may_use(named, "m", 2))
+        keeper.named_after["m", 3] = bench.now()
+        self.assertFalse(clock.may_use(make_view(3, m=3), "m", 1), "a later naming grants no time anew")
+
+
+class NodeCountTest(unittest.IsolatedAsyncioTestCase):
+    """The shares of what the fleet may do together are reckoned from how many nodes there are."""
+
+    async def asyncSetUp(self) -> None:
+        self.bench = Bench()
+        self.gateway = make_gateway(self.bench)
+        for number in range(1, NODE_COUNT):
+            record = Record(identity=f"n{number}", address=f"a:{10 + number}", role="router")
+            self.gateway.directory.records[record.identity] = (record, self.bench.now())
+
+    async def test_a_node_knows_its_colleagues(self) -> None:
+        self.assertEqual(self.gateway._node_count(), NODE_COUNT)
+
+    async def test_a_node_that_is_cut_off_takes_no_larger_share_while_it_serves_on(self) -> None:
+        budget = FleetBudget(self.bench, 0.2, SLACK, WINDOW_MICROS)
+        self.gateway._node_count()
+        # Records of nodes that are not heard of any more have ended by now, and the node serves on.
+        self.bench.now_micros += WINDOW_MICROS
+        spent = 0
+        for _ in range(100):
+            self.bench.now_micros += WINDOW_MICROS // 100
+            while budget.take_out("s", self.gateway._node_count()):
+                spent += 1
+        # Each of the nodes may be alone like this one, and all of them send to the same workers.
+        self.assertLessEqual(spent, max(SLACK / NODE_COUNT, 1))
