--- a/tests/test_failures_page.py
+++ b/tests/test_failures_page.py
@@ -1,37 +1,77 @@
-"""The last section of docs/failures.md: each test and scenario that it names exists, and no line is left open."""
+"""The line-by-line sections of docs/failures.md: whatever they name exists, and no line is left open."""
 
 from __future__ import annotations
 
 import re
 import unittest
+from dataclasses import dataclass
 from pathlib import Path
 
+from pearhead.testbed.simulator.mutations import MUTATIONS
 from pearhead.testbed.simulator.scenarios import SCENARIOS
 
 ROOT = Path(__file__).resolve().parent.parent
-HEADING = "## The platform's later pages, line by line"
+LATER_HEADING = "## The platform's later pages, line by line"
+NEWEST_HEADING = "## The platform's newest pages, line by line"
+# How many lines each page has that is taken in; several rows may take in one line.
+LINES_OF_PAGES = {"18": 21, "22": 19}
 TEST = re.compile(r"`(test_\w+)(?:\.(test_\w+))?`")
 SCENARIO = re.compile(r"`([a-z]+(?:-[a-z]+)+)`")
+MUTATION_LIST = re.compile(r"\bmutations? ((?:`\w+`(?:, )?)+)")
+CODE = re.compile(r"`([A-Z]\w+)\.(\w+)`")
+PAGES = re.compile(r"^\(([\d, ]+)\) ")
 
 
-def read_rows(text: str) -> list[list[str]]:
-    section = text[text.index(HEADING) + len(HEADING) :].split("\n## ")[0]
+@dataclass(frozen=True)
+class Names:
+    """What exists: test modules by name with their text, scenarios, mutations, and the text of each class."""
+
+    tests: dict[str, str]
+    scenarios: set[str]
+    mutations: set[str]
+    classes: dict[str, str]
+
+
+def read_rows(text: str, heading: str) -> list[list[str]]:
+    section = text[text.index(heading) + len(heading) :].split("\n## ")[0]
     rows = [
         [cell.strip() for cell in line.strip().strip("|").split("|")] for line in section.splitlines() if "|" in line
     ]
     return [row for row in rows if row[0] != "line" and set(row[0]) != {"-", " "} and not set(row[0]) <= {"-"}]
 
 
-def find_faults(rows: list[list[str]], sources: dict[str, str], scenarios: set[str]) -> list[str]:
+def read_classes(paths: list[Path]) -> dict[str, str]:
+    """The text of all classes of a name, each up to the next class."""
+    classes: dict[str, str] = {}
+    for path in paths:
+        for text in re.split(r"^(?=class )", path.read_text(), flags=re.MULTILINE)[1:]:
+            name = re.match(r"class (\w+)", text)
+            assert name is not None
+            classes[name.group(1)] = classes.get(name.group(1), "") + text
+    return classes
+
+
+def find_faults(rows: list[list[str]], names: Names) -> list[str]:
     faults = []
     for row in rows:
         if len(row) != 3:
             faults.append(f"{row[0]}: {len(row)} cells")
             continue
         for module, method in TEST.findall(row[1] + row[2]):
-            if module not in sources or (method and f"def {method}(" not in sources[module]):
+            if module not in names.tests or (method and f"def {method}(" not in names.tests[module]):
                 faults.append(f"{row[0]}: no test {module}.{method}")
-        faults.extend(f"{row[0]}: no scenario {name}" for name in SCENARIO.findall(row[1]) if name not in scenarios)
+        faults.extend(
+            f"{row[0]}: no scenario {name}" for name in SCENARIO.findall(row[1]) if name not in names.scenarios
+        )
+        for listed in MUTATION_LIST.findall(row[1]):
+            faults.extend(
+                f"{row[0]}: no mutation {name}"
+                for name in re.findall(r"`(\w+)`", listed)
+                if name not in names.mutations
+            )
+        for class_name, member in CODE.findall(row[1] + row[2]):
+            if not re.search(rf"(def {member}\(|self\.{member}\b)", names.classes.get(class_name, "")):
+                faults.append(f"{row[0]}: no {class_name}.{member}")
         if not TEST.search(row[1]) and not SCENARIO.search(row[1]) and "not covered" not in row[2]:
             faults.append(f"{row[0]}: neither covered nor said why not")
     return faults
@@ -39,21 +79,41 @@
 
 class FailuresPageTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.rows = read_rows((ROOT / "docs" / "failures.md").read_text())
-        self.sources = {path.stem: path.read_text() for path in (ROOT / "tests").glob("test_*.py")}
-        self.scenarios = set(SCENARIOS)
+        text = (ROOT / "docs" / "failures.md").read_text()
+        self.later, self.newest = read_rows(text, LATER_HEADING), read_rows(text, NEWEST_HEADING)
+        sources = [*(ROOT / "src" / "pearhead").rglob("*.py"), *(ROOT / "platform").glob("*.py")]
+        self.names = Names(
+            {path.stem: path.read_text() for path in (ROOT / "tests").glob("test_*.py")},
+            set(SCENARIOS),
+            set(MUTATIONS),
+            read_classes(sources),
+        )
 
     def test_every_name_exists_and_no_line_is_left_open(self) -> None:
-        self.assertGreater(len(self.rows), 50)
-        self.assertEqual(find_faults(self.rows, self.sources, self.scenarios), [])
+        self.assertGreater(len(self.later), 50)
+        self.assertEqual(find_faults(self.later, self.names), [])
+
+    def test_so_it_is_for_the_newest_pages(self) -> None:
+        self.assertEqual(find_faults(self.newest, self.names), [])
+        for page, line_count in LINES_OF_PAGES.items():
+            told = [PAGES.match(row[0]) for row in self.newest]
+            rows = [found for found in told if found is not None and page in found.group(1).split(", ")]
+            self.assertGreaterEqual(len(rows), line_count, page)
+        self.assertEqual([row[0] for row in self.newest if not PAGES.match(row[0])], [])
 
     def test_planted_faults_are_found(self) -> None:
         for row in (
             ["a", "`test_nowhere`", ""],
             ["a", "`test_roster.test_nothing_of_the_kind`", ""],
             ["a", "`no-such-scenario`", ""],
+            ["a", "`test_roster`; mutation `no_such_mutation`", ""],
+            ["a", "`test_roster`; mutations `line_lost`, `no_such_mutation`", ""],
+            ["a", "`Gate.no_such_function`: `test_roster`", ""],
+            ["a", "`NoSuchClass.serve`: `test_roster`", ""],
             ["a", "", ""],
             ["a", "`test_roster`"],
         ):
-            self.assertEqual(len(find_faults([row], self.sources, self.scenarios)), 1, row)
-        self.assertEqual(find_faults([["a", "`all-killed`", ""]], self.sources, self.scenarios), [])
+            self.assertEqual(len(find_faults([row], self.names)), 1, row)
+        sound = ["a", "`Gate.serve`: `all-killed`; mutations `line_lost`, `runs_unlimited`", ""]
+        self.assertEqual(len(find_faults([sound], self.names)), 1, "the second mutation does not exist")
+        self.assertEqual(find_faults([["a", "`Gate.serve`: `all-killed`", ""]], self.names), [])
