--- a/src/pearhead/router/gate.py
+++ b/src/pearhead/router/gate.py
@@ -252,6 +252,9 @@
         held_tokens = request.prompt_tokens() + request.output_tokens
         waiting = _Waiting(self.loads, worker, choice.missing_tokens, held_tokens)
         try:
+            if passage.pen.is_gone():
+                # A cancellation that comes as the connection stands is lost in `asyncio.wait_for`.
+                return Refusal(ErrorKind.NO_WORKER, "the caller is gone")
             looked = self._look(request)
             if (
                 isinstance(looked, Err)
--- a/src/pearhead/router/gateway.py
+++ b/src/pearhead/router/gateway.py
@@ -18,6 +18,7 @@
 from pearhead.router.kept_gatherer import KeptGatherer
 from pearhead.router.kept_index import KeptIndex
 from pearhead.router.load_book import LoadBook
+from pearhead.router.node_count import NodeCount
 from pearhead.router.opaque import AnswerHead, Dialect
 from pearhead.router.part_salt import PartSalt
 from pearhead.router.placer import Placer
@@ -100,6 +101,7 @@
         self.directory = Directory(record, startup.seeds, self.courier, clock, chance)
         self.keeper = TermKeeper(self.courier, self.directory, clock, chance, self.crew, startup.termMicros)
         self.listener = Listener(self.courier, self.directory, clock, chance, self.crew, startup.tableLifetimeMicros)
+        self.shared_count = NodeCount(clock, settings.serve_on_micros)
         self.loads = LoadBook(clock)
         self.index = KeptIndex()
         self.versions = VersionBook(clock)
@@ -233,8 +235,8 @@
         return self.held_limits[1]
 
     def node_count(self) -> int:
-        """Front nodes known to this one, itself among them."""
-        return len(self.directory.members("router")) + 1
+        """Front nodes that this one shares with, itself among them."""
+        return self.shared_count.note(len(self.directory.members("router")) + 1)
 
     def _note_versions(self, worker: str, head: AnswerHead) -> None:
         for line, version in head.versions.items():
--- a/tests/test_fresh_state.py
+++ b/tests/test_fresh_state.py
@@ -92,17 +92,17 @@
             self.gateway.directory.records[record.identity] = (record, self.bench.now())
 
     async def test_a_node_knows_its_colleagues(self) -> None:
-        self.assertEqual(self.gateway._node_count(), NODE_COUNT)
+        self.assertEqual(self.gateway.node_count(), NODE_COUNT)
 
     async def test_a_node_that_is_cut_off_takes_no_larger_share_while_it_serves_on(self) -> None:
         budget = FleetBudget(self.bench, 0.2, SLACK, WINDOW_MICROS)
-        self.gateway._node_count()
+        self.gateway.node_count()
         # Records of nodes that are not heard of any more have ended by now, and the node serves on.
         self.bench.now_micros += WINDOW_MICROS
         spent = 0
         for _ in range(100):
             self.bench.now_micros += WINDOW_MICROS // 100
-            while budget.take_out("s", self.gateway._node_count()):
+            while budget.take_out("s", self.gateway.node_count()):
                 spent += 1
         # Each of the nodes may be alone like this one, and all of them send to the same workers.
         self.assertLessEqual(spent, max(SLACK / NODE_COUNT, 1))
--- a/tests/test_news_requests.py
+++ b/tests/test_news_requests.py
@@ -20,7 +20,7 @@
 from pearhead.router.opaque import Directions, OpaqueRequest, PromptPart
 from pearhead.router.part_salt import PartSalt
 from pearhead.router.placer import Placer
-from pearhead.router.roster import Roster
+from pearhead.router.roster_merge import Roster
 from pearhead.router.version_book import VersionBook
 from pearhead.router.worker_control import Backend
 from pearhead.runtime.bench import Bench
@@ -87,7 +87,7 @@
         splitter = EventSplitter()
         self.assertEqual(splitter.feed(events[0] + events[1] + events[2][:5]), events[0] + events[1])
         self.assertEqual(splitter.last_id, "2")
-        splitter.go_on_elsewhere()
+        splitter.begin_run()
         self.assertEqual(splitter.feed(b"".join(events)), events[2], "neither a hole nor a repeat")
 
 
