Emulator's checkers: LOST and DRAIN by the newest rules, faults that last

A worker recorded "broke off" also when the node closed first, and the checker excuses what the worker broke off.

A worker that stops excuses its own requests only. A fault that lasts counts from its beginning to its end; link faults and faulty workers are known.

Test changed: a cut 5 s into the drain was sound and is LOST now, so the sound one is 7 s in and the 5 s one is planted; a worker's stop excuses only a request that reached it, so the test asserts both. The version file of an emulated worker is replaced whole (a kill left it empty, and the worker did not start again); the store's event reader may leave without a traceback.

--- a/src/pearhead/testbed/emulator/checkers.py
+++ b/src/pearhead/testbed/emulator/checkers.py
@@ -11,7 +11,17 @@
 from pearhead.testbed.emulator.configcheckers import Config, Denied
 from pearhead.testbed.emulator.ledger import Arrival, SiteLedger, Try
 from pearhead.testbed.emulator.plannedcheckers import Drain, Lost
-from pearhead.testbed.emulator.rules import PROMISES, Breach, Checker, Configs, SiteBounds, is_repeatable, ran_of
+from pearhead.testbed.emulator.rules import (
+    PROMISES,
+    Breach,
+    Checker,
+    Configs,
+    SiteBounds,
+    Touch,
+    is_repeatable,
+    ran_of,
+    spans_of,
+)
 from pearhead.testbed.emulator.workcheckers import Budget, One
 
 
@@ -145,20 +155,26 @@
 
 
 class Version:
-    """A request starts on an older version long after a newer one was acknowledged, while the core was settled."""
+    """A machine in touch sends on a request that starts on an older version long after a newer one was acknowledged,
+    while the core was settled and no link was in trouble."""
 
     rule = "VERSION"
 
     def find(self, ledger: SiteLedger, bounds: SiteBounds) -> Iterator[str]:
-        core_troubles = [t.at for t in ledger.troubles if t.program == "control_plane"]
+        tries, touch = ledger.try_of(), Touch(ledger, bounds)
+        unsettled = [
+            s for s in spans_of(ledger.troubles) if s.trouble.program == "control_plane" or s.trouble.what == "cut"
+        ]
         for run in ledger.runs:
             for naming in ledger.namings:
                 if not naming.acknowledged_at or naming.model != run.model or naming.version <= run.version:
                     continue
                 calm_from = max(
-                    [naming.acknowledged_at] + [at + bounds.contact_micros for at in core_troubles if at <= run.at]
+                    [naming.acknowledged_at]
+                    + [s.end_at + bounds.contact_micros for s in unsettled if s.trouble.at <= run.at]
                 )
-                if run.at - calm_from > bounds.version_micros:
+                node = tries[run.request_id].node if run.request_id in tries else ""
+                if run.at - calm_from > bounds.version_micros and touch.is_sound(node, run.at, run.at):
                     yield (
                         f"{run.request_id} began at {run.worker} on version {run.version}, "
                         f"{(run.at - calm_from) // MILLI} ms after {naming.version} was acknowledged"
--- a/src/pearhead/testbed/emulator/client.py
+++ b/src/pearhead/testbed/emulator/client.py
@@ -232,7 +232,9 @@
     async def _try(
         self, request: SiteRequest, attempt: int, tried: list[str], resumed_from: int, end_at: int, report: CallReport
     ) -> Outcome:
+        held = self.kept
         node, connection = await self._connect(attempt, tried)
+        is_kept = held is not None and held[1] is connection
         request_id = self.chance.randbytes(8).hex()
         sent_at = self.clock.now()
         outcome = Outcome(is_unread=True)
@@ -265,6 +267,7 @@
                 outcome.is_unread,
                 outcome.is_given_up,
                 end_at,
+                is_kept,
             )
         )
         return outcome
--- a/src/pearhead/testbed/emulator/configcheckers.py
+++ b/src/pearhead/testbed/emulator/configcheckers.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from pearhead.testbed.emulator.ledger import SiteLedger
-from pearhead.testbed.emulator.rules import PROMISES, Configs, SiteBounds, ran_of
+from pearhead.testbed.emulator.rules import PROMISES, Configs, SiteBounds, Touch, ran_of
 
 REFUSALS = (400, 409, 412, 413, 422)
 LATER_REQUESTS = 20
@@ -85,9 +85,18 @@
         return keyed(sent) == keyed(read)
 
     def _handled(self, ledger: SiteLedger, bounds: SiteBounds) -> Iterator[str]:
-        configs, runs = Configs(ledger), ran_of(ledger)
+        """By machines without trouble of their own. One core machine in trouble stretches the time; with more of them,
+        the nodes have no way to know."""
+        configs, runs, touch = Configs(ledger), ran_of(ledger), Touch(ledger, bounds)
         for asked in ledger.tries:
-            possible = configs.possible_at(asked.sent_at, asked.ended_at, bounds.apply_micros)
+            if not touch.is_sound(asked.node, asked.sent_at, asked.ended_at):
+                continue
+            stretched_micros = bounds.apply_micros + bounds.stretch_micros
+            struck = touch.struck_cores(asked.sent_at - stretched_micros, asked.ended_at)
+            if len(struck) > 1:
+                continue
+            apply_micros = stretched_micros if struck else bounds.apply_micros
+            possible = configs.possible_at(asked.sent_at, asked.ended_at, apply_micros)
             if not possible:
                 continue
             if asked.status in (401, 403, 404) and all(configs.allows(c.body, asked) for c in possible):
--- a/src/pearhead/testbed/emulator/enginefront.py
+++ b/src/pearhead/testbed/emulator/enginefront.py
@@ -31,7 +31,7 @@
 )
 from pearhead.testbed.emulator.enginedriver import EngineDriver
 from pearhead.testbed.emulator.enginefaults import EngineFaults
-from pearhead.testbed.emulator.ledger import Arrival, BrokenOff, RecordSink, body_digest
+from pearhead.testbed.emulator.ledger import Arrival, BrokenOff, Finished, RecordSink, body_digest
 
 IDLE_SECONDS = 30
 FORGET_MICROS = 200 * MILLI
@@ -130,6 +130,7 @@
 
     ticket = 0
     is_last = False
+    is_left = False
 
     async def serve(self) -> None:
         request_id, status = self.header("X-Request-Id"), 0
@@ -158,6 +159,7 @@
     get = post = put = delete = patch = head = options = serve
 
     def on_connection_close(self) -> None:
+        self.is_left = True
         if self.ticket:
             self.site.driver.cancel(self.ticket)
 
@@ -215,6 +217,10 @@
                 case TimedOut() if not is_begun:
                     await self.turn_away(504, is_run=True)
                     return
+                case Broken() if self.is_left:
+                    # The node closed first: the worker has broken off nothing.
+                    self._auto_finish = False
+                    return
                 case Broken() | TimedOut():
                     self.break_off(is_reset=True)
                     return
@@ -259,6 +265,7 @@
 
     async def _end(self, wanted: EngineRequest, fault: str) -> None:
         stream = self.stream
+        self.site.sink.take(Finished(self.site.clock.now(), self.model.worker, wanted.request_id))
         await self.finish()
         if fault in ("extra", "late") and not stream.closed():
             if fault == "late":
--- a/src/pearhead/testbed/emulator/ledger.py
+++ b/src/pearhead/testbed/emulator/ledger.py
@@ -80,7 +80,8 @@
 @dataclass(frozen=True)
 class Try:
     """One try of a caller. `faults`: what was wrong with an answer that the caller took as a success. `given_up`: the
-    caller ended it, for silence or its deadline. `deadline_at`: 0 if none is known."""
+    caller ended it, for silence or its deadline. `deadline_at`: 0 if none is known. `kept`: its connection was not
+    new."""
 
     sent_at: int
     ended_at: int
@@ -102,6 +103,7 @@
     unread: bool = False
     given_up: bool = False
     deadline_at: int = 0
+    kept: bool = False
 
 
 @dataclass(frozen=True)
@@ -173,6 +175,15 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class Finished:
+    """A worker has put out the last of an answer."""
+
+    at: int
+    worker: str
+    request_id: str
+
+
 @dataclass(frozen=True)
 class VersionNamed:
     """New weights that an operator named. `acknowledged_at`: 0 while no 2xx came."""
@@ -185,8 +196,9 @@
 
 @dataclass(frozen=True)
 class Trouble:
-    """The launcher killed, stopped, froze, woke, started, reloaded or commanded a process. `program`:
-    as in the plan. `ip`: its machine's address."""
+    """The launcher killed, stopped, froze, woke, started, reloaded or commanded a process, cut or healed its link, or
+    made a worker faulty or sound; `overran`: a stopped process was killed after `GraceS`. `program`: as in the plan.
+    `ip`: its machine's address."""
 
     at: int
     name: str
@@ -208,6 +220,7 @@
     | Shown
     | Life
     | BrokenOff
+    | Finished
     | Trouble
 )
 RECORD_TYPES: dict[str, type[Record]] = {t.__name__: t for t in Record.__args__}
@@ -239,6 +252,7 @@
         self.shown: list[Shown] = []
         self.lives: list[Life] = []
         self.broken_off: list[BrokenOff] = []
+        self.finished: list[Finished] = []
         self.troubles: list[Trouble] = []
         for record in records or []:
             self.take(record)
@@ -269,6 +283,8 @@
                 self.lives.append(record)
             case BrokenOff():
                 self.broken_off.append(record)
+            case Finished():
+                self.finished.append(record)
             case Trouble():
                 self.troubles.append(record)
 
--- a/src/pearhead/testbed/emulator/main.py
+++ b/src/pearhead/testbed/emulator/main.py
@@ -78,10 +78,16 @@
         driver = EngineDriver(model, self.clock, HttpPartLink(), settings["zone"])
         return EngineSite(driver, self.clock, self.chance, sink, settings["readers"], settings["connections"])
 
+    def _keep_version(self, version: int) -> None:
+        """Whole or not at all, as the worker may be killed at any moment."""
+        new_path = self.version_path.with_suffix(".new")
+        new_path.write_text(str(version))
+        new_path.replace(self.version_path)
+
     async def _beat(self, site: EngineSite) -> None:
         model, settings = site.driver.model, self.settings
         site.driver.kick()
-        self.version_path.write_text(str(model.version))
+        self._keep_version(model.version)
         state = model.state()
         answer = await ask(
             settings["cloud"],
@@ -90,7 +96,7 @@
             {
                 "Id": model.instance,
                 "Service": settings["service"],
-                "Address": settings["address"],
+                "Address": settings.get("listed_address", settings["address"]),
                 "Zone": settings["zone"],
                 "Revision": "v1",
                 "Capacity": model.settings.capacity,
--- a/src/pearhead/testbed/emulator/plannedcheckers.py
+++ b/src/pearhead/testbed/emulator/plannedcheckers.py
@@ -6,11 +6,14 @@
 
 from pearhead.runtime.clock import MILLI, SECOND
 from pearhead.testbed.emulator.ledger import Arrival, ConfigSent, Shown, SiteLedger, Trouble, Try
-from pearhead.testbed.emulator.rules import Configs, SiteBounds, ran_of
+from pearhead.testbed.emulator.rules import Configs, SiteBounds, Span, Touch, ran_of, spans_of
 
-UNPLANNED = ("killed", "frozen", "woken", "commanded")
+UNPLANNED = ("killed", "frozen", "woken", "commanded", "cut", "healed", "faulty", "sound")
 CUTS_RATIO = 3
 USED_SHARE = 0.7
+LAST_SIXTH = 5 / 6
+EARLY_MICROS = 3 * SECOND
+SPARED_CLOSES = 3
 
 
 class Drain:
@@ -20,31 +23,32 @@
 
     def find(self, ledger: SiteLedger, bounds: SiteBounds) -> Iterator[str]:
         tries = ledger.try_of()
+        spans = spans_of(ledger.troubles)
         shown = {s.instance: s for s in ledger.shown if s.state == "draining"}
         for arrival in ledger.arrivals:
             draining = shown.get(arrival.instance)
             if draining is None or arrival.turned_away == 421:
                 continue
             asked = tries.get(arrival.request_id)
-            from_at = self._from_at(ledger, draining, asked.node if asked else "", arrival, bounds)
+            from_at = self._from_at(spans, draining, asked.node if asked else "", arrival, bounds)
             if arrival.at > from_at:
                 late_millis = (arrival.at - from_at) // MILLI
                 yield f"{arrival.request_id} came to {arrival.worker} {late_millis} ms after it was to be left"
 
-    def _from_at(self, ledger: SiteLedger, draining: Shown, node: str, arrival: Arrival, bounds: SiteBounds) -> int:
-        """From when the worker had to be left: trouble of the list or of the node begins the time anew."""
-        troubles = [
-            t.at for t in ledger.troubles if (t.program == "cloud" or t.name == node) and self._counts(t, arrival)
+    def _from_at(self, spans: list[Span], draining: Shown, node: str, arrival: Arrival, bounds: SiteBounds) -> int:
+        """From when the worker had to be left: trouble of the list or of the node begins the time anew at its end."""
+        ends = [
+            s.end_at
+            for s in spans
+            if (s.trouble.program == "cloud" or s.trouble.name == node) and s.trouble.at <= arrival.at
         ]
-        in_touch_at = max((at + bounds.contact_micros for at in troubles), default=0)
+        in_touch_at = max((at + bounds.contact_micros for at in ends), default=0)
         return max(draining.at, in_touch_at) + bounds.drain_micros
 
-    def _counts(self, trouble: Trouble, arrival: Arrival) -> bool:
-        return trouble.at <= arrival.at
-
 
 class Lost:
-    """Around planned work, in calm times, a request that was read ends without a complete answer.
+    """Around planned work, in calm times, a request that was read ends without a complete answer; or, at any time,
+    requests from kept connections that reached sound workers have no answer at all.
 
     Planned work: a stop of its node, that node's reload, and a configuration that may be in force.
     """
@@ -55,28 +59,39 @@
         ran = ran_of(ledger)
         passed_on = {a.request_id for a in ledger.arrivals}
         broken_off = {b.request_id for b in ledger.broken_off}
-        cut = []
+        cut, cut_in_calm = [], []
+        unplanned = spans_of(t for t in ledger.troubles if self._is_unplanned(t))
+        stops = [s for s in spans_of(ledger.troubles) if s.trouble.what == "stopped" and s.trouble.program == "engine"]
+        workers = workers_of(ledger)
         for asked in ledger.tries:
             is_late = asked.ended_at > asked.sent_at + bounds.loss_slack_micros
             if asked.status or asked.unread or asked.given_up or asked.request_id in broken_off:
                 continue
             if not is_late and asked.request_id not in passed_on:
                 continue
-            if self._has_reached_its_end(ledger, asked) or self._is_troubled(ledger, asked, bounds):
+            if self._has_reached_its_end(ledger, asked):
                 continue
             cut.append(asked)
-        yield from self._beside_stops(ledger, cut, set(ran), bounds)
-        yield from self._beside_reloads(ledger, cut, bounds)
-        yield from self._beside_configs(ledger, cut, bounds)
+            own_stops = [s for s in stops if s.trouble.name in workers.get(asked.request_id, set())]
+            if not self._is_troubled([*unplanned, *own_stops], asked, bounds):
+                cut_in_calm.append(asked)
+        yield from self._beside_stops(ledger, cut_in_calm, set(ran), bounds)
+        yield from self._beside_reloads(ledger, cut_in_calm, bounds)
+        yield from self._beside_configs(ledger, cut_in_calm, bounds)
+        yield from self._on_kept_connections(ledger, cut, workers, bounds)
 
     def _beside_stops(self, ledger: SiteLedger, cut: list[Try], ran: set[str], bounds: SiteBounds) -> Iterator[str]:
+        finished_at = {f.request_id: f.at for f in ledger.finished}
         for stopped in (t for t in ledger.troubles if t.what == "stopped" and t.program == "router"):
             for asked in (a for a in cut if a.node == stopped.name):
                 is_around = asked.ended_at >= stopped.at and asked.sent_at <= (
                     stopped.at + bounds.grace_micros + SECOND
                 )
-                was_at_work = asked.request_id in ran and asked.ended_at >= stopped.at + bounds.grace_micros // 2
-                if is_around and not was_at_work:
+                last_sixth_at = stopped.at + round(bounds.grace_micros * LAST_SIXTH)
+                worked_until = min(asked.ended_at, finished_at.get(asked.request_id, asked.ended_at))
+                was_at_work = asked.request_id in ran and worked_until >= last_sixth_at
+                is_early = asked.sent_at <= stopped.at + EARLY_MICROS
+                if is_around and not (was_at_work and is_early):
                     yield f"{asked.request_id} was cut by {stopped.name}, which was stopped as planned"
 
     def _beside_reloads(self, ledger: SiteLedger, cut: list[Try], bounds: SiteBounds) -> Iterator[str]:
@@ -116,10 +131,34 @@
         end_at = asked.deadline_at or asked.ended_at + 1
         return asked.ended_at >= min([end_at, *(asked.sent_at + limit for limit in limits)])
 
-    def _is_troubled(self, ledger: SiteLedger, asked: Try, bounds: SiteBounds) -> bool:
+    def _is_unplanned(self, trouble: Trouble) -> bool:
+        return trouble.what in UNPLANNED or (trouble.what == "stopped" and trouble.program in ("store", "cloud"))
+
+    def _is_troubled(self, spans: list[Span], asked: Try, bounds: SiteBounds) -> bool:
         from_at = asked.sent_at - bounds.contact_micros
-        return any(
-            from_at <= t.at <= asked.ended_at
-            and (t.what in UNPLANNED or (t.what == "stopped" and t.program in ("engine", "store", "cloud")))
-            for t in ledger.troubles
-        )
+        return any(s.touches(from_at, asked.ended_at) for s in spans)
+
+    def _on_kept_connections(
+        self, ledger: SiteLedger, cut: list[Try], workers: dict[str, set[str]], bounds: SiteBounds
+    ) -> Iterator[str]:
+        """Machines in touch close kept connections on which a request had gone to a sound worker."""
+        touch = Touch(ledger, bounds)
+        closed = [
+            a
+            for a in cut
+            if a.kept
+            and not a.first_at
+            and a.request_id in workers
+            and not touch.struck_cores(a.sent_at, a.ended_at)
+            and all(touch.is_sound(n, a.sent_at, a.ended_at) for n in (a.node, *workers[a.request_id]))
+        ]
+        if len(closed) > SPARED_CLOSES:
+            yield f"{len(closed)} requests of kept connections had no answer, {closed[0].request_id} first"
+
+
+def workers_of(ledger: SiteLedger) -> dict[str, set[str]]:
+    """To which workers each request was passed on."""
+    workers: dict[str, set[str]] = {}
+    for arrival in ledger.arrivals:
+        workers.setdefault(arrival.request_id, set()).add(arrival.worker)
+    return workers
--- a/src/pearhead/testbed/emulator/rules.py
+++ b/src/pearhead/testbed/emulator/rules.py
@@ -6,14 +6,15 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 from pearhead.runtime.clock import MILLI, SECOND
-from pearhead.testbed.emulator.ledger import ConfigSent, Run, SiteLedger, Try
+from pearhead.testbed.emulator.ledger import ConfigSent, Run, SiteLedger, Trouble, Try
 
 PROMISES = (408, 421, 429, 503)
+LASTS_UNTIL = {"killed": "started", "stopped": "started", "frozen": "woken", "cut": "healed", "faulty": "sound"}
 
 
 @dataclass(frozen=True)
@@ -30,6 +31,7 @@
     """The figures of the rules. `is_fenced`: workers refuse a lower fence themselves."""
 
     apply_micros: int = 2_000 * MILLI
+    stretch_micros: int = 5_000 * MILLI
     version_micros: int = 8_000 * MILLI
     lease_micros: int = 3_000 * MILLI
     contact_micros: int = 3_000 * MILLI
@@ -84,6 +86,50 @@
         ]
 
 
+@dataclass(frozen=True)
+class Span:
+    """Some trouble of a process, from its beginning to its end; both are the same where it has no length."""
+
+    trouble: Trouble
+    end_at: int
+
+    def touches(self, begin_at: int, end_at: int) -> bool:
+        """Whether it lies, for a part at least, between two moments."""
+        return self.trouble.at <= end_at and self.end_at >= begin_at
+
+
+def spans_of(troubles: Iterable[Trouble]) -> list[Span]:
+    """One span for each trouble. What begins and never ends counts at its beginning only."""
+    in_order = sorted(troubles, key=lambda t: t.at)
+    spans = []
+    for position, trouble in enumerate(in_order):
+        last = LASTS_UNTIL.get(trouble.what)
+        ends = (t.at for t in in_order[position + 1 :] if t.name == trouble.name and t.what == last)
+        spans.append(Span(trouble, next(ends, trouble.at)))
+    return spans
+
+
+class Touch:
+    """Which processes were in touch, as the rules have it: no trouble of their own in the `ContactMs` before, and a
+    settled core. A reload is no trouble."""
+
+    def __init__(self, ledger: SiteLedger, bounds: SiteBounds) -> None:
+        self.bounds = bounds
+        self.spans = spans_of(t for t in ledger.troubles if t.what != "reloaded")
+
+    def is_sound(self, name: str, begin_at: int, end_at: int) -> bool:
+        """Whether a process had no trouble from `ContactMs` before a moment until another."""
+        return not self._names(lambda t: t.name == name, begin_at, end_at)
+
+    def struck_cores(self, begin_at: int, end_at: int) -> set[str]:
+        """The core machines that had trouble from `ContactMs` before a moment until another."""
+        return self._names(lambda t: t.program == "control_plane", begin_at, end_at)
+
+    def _names(self, is_wanted: Callable[[Trouble], bool], begin_at: int, end_at: int) -> set[str]:
+        from_at = begin_at - self.bounds.contact_micros
+        return {s.trouble.name for s in self.spans if is_wanted(s.trouble) and s.touches(from_at, end_at)}
+
+
 def ran_of(ledger: SiteLedger) -> dict[str, list[Run]]:
     runs: dict[str, list[Run]] = defaultdict(list)
     for run in ledger.runs:
@@ -108,4 +154,4 @@
     if not struck:
         return False
     last = max(struck, key=lambda t: t.at)
-    return last.what in ("frozen", "killed") or last.at > at - bounds.contact_micros
+    return last.what in ("frozen", "killed", "cut") or last.at > at - bounds.contact_micros
--- a/src/pearhead/testbed/emulator/store.py
+++ b/src/pearhead/testbed/emulator/store.py
@@ -7,6 +7,7 @@
 import random
 from dataclasses import asdict, replace
 
+from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
 from pearhead.runtime.clock import MILLI, Clock, rest
@@ -75,6 +76,8 @@
                 await rest(site.clock, min(10 * MILLI, end_at - now))
                 page = events.read(site.clock.now(), since)
             await self.finish(page.body())
+        except StreamClosedError:
+            pass
         finally:
             site.reading -= 1
 
--- a/src/pearhead/testbed/emulator/workcheckers.py
+++ b/src/pearhead/testbed/emulator/workcheckers.py
@@ -5,8 +5,8 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from pearhead.testbed.emulator.ledger import OrderSeen, Run, SiteLedger, Try
-from pearhead.testbed.emulator.rules import Configs, SiteBounds, is_out_of_touch, ran_of, tries_of
+from pearhead.testbed.emulator.ledger import OrderSeen, Run, SiteLedger, Trouble, Try
+from pearhead.testbed.emulator.rules import Configs, SiteBounds, is_out_of_touch, ran_of, spans_of, tries_of
 
 SPARED_REQUESTS = 3
 
@@ -41,9 +41,9 @@
             yield f"{len(over)} requests ran on more workers than their route's tries, the first {over[0]}"
 
     def _has_crashed(self, ledger: SiteLedger, run: Run, asked: Try) -> bool:
-        return any(
-            t.name == run.worker and t.what == "killed" and run.at <= t.at <= asked.ended_at for t in ledger.troubles
-        )
+        """Whether the worker ended or was cut off meanwhile."""
+        spans = spans_of(t for t in ledger.troubles if t.name == run.worker)
+        return any(s.trouble.what in ("killed", "stopped", "cut") and s.touches(run.at, asked.ended_at) for s in spans)
 
     def _find_arrivals(self, ledger: SiteLedger, bounds: SiteBounds) -> Iterator[str]:
         seen: set[tuple[str, str]] = set()
@@ -87,10 +87,16 @@
     def _is_of_the_thawed(self, ledger: SiteLedger, order: OrderSeen, bounds: SiteBounds) -> bool:
         ip = ip_of(ledger, order.holder)
         return any(
-            ip and t.ip == ip and t.what == "woken" and t.at <= order.at <= t.at + bounds.thaw_micros
+            self._has_come_back(t, ip, order.worker) and t.at <= order.at <= t.at + bounds.thaw_micros
             for t in ledger.troubles
         )
 
+    def _has_come_back(self, trouble: Trouble, ip: str, worker: str) -> bool:
+        """The sender was thawed, or the link to the worker healed."""
+        return (bool(ip) and trouble.ip == ip and trouble.what == "woken") or (
+            trouble.name == worker and trouble.what == "healed"
+        )
+
     def _judge_fences(self, orders: list[OrderSeen]) -> Iterator[str]:
         holders: dict[int, str] = {}
         highest = 0
--- a/tests/test_site_checkers.py
+++ b/tests/test_site_checkers.py
@@ -22,6 +22,7 @@
     ConfigRead,
     ConfigSent,
     ConfigTry,
+    Finished,
     LedgerFile,
     Life,
     OrderSeen,
@@ -112,6 +113,22 @@
     return records
 
 
+def cut_at_work(ended_at: int, sent_at: int = 10 * SECOND) -> list[Any]:
+    """A front node is stopped after 10 s, and cuts a request on which a worker works."""
+    return [
+        Trouble(10 * SECOND, "front-1", "router", "stopped"),
+        asked("x", status=0, sent_at=sent_at, ended_at=ended_at),
+        arrived("x", at=sent_at),
+        ran("x", at=sent_at),
+    ]
+
+
+def closed_without_answer(count: int) -> list[Any]:
+    """Requests of kept connections that reach a worker and have no answer, with no planned work around."""
+    names = [f"closed-{n}" for n in range(count)]
+    return [*(asked(name, status=0, kept=True) for name in names), *(arrived(name) for name in names)]
+
+
 def sound_ledger() -> SiteLedger:
     return SiteLedger(
         [
@@ -224,6 +241,16 @@
             arrived("x", turned_away=503),
         ],
         lambda: [Trouble(9 * SECOND, "front-1", "router", "reloaded"), asked("x", status=0)],
+        lambda: cut_at_work(ended_at=16_600_000),
+        lambda: cut_at_work(ended_at=17 * SECOND, sent_at=13_100_000),
+        lambda: [*cut_at_work(ended_at=17 * SECOND), Finished(16_600_000, "w1", "x")],
+        lambda: [
+            Trouble(10 * SECOND, "front-1", "router", "stopped"),
+            Trouble(10 * SECOND, "w2", "engine", "stopped"),
+            asked("x", status=0),
+            arrived("x"),
+        ],
+        lambda: closed_without_answer(4),
         lambda: cut_beside(cut_before=0),
     ],
     "BUDGET": [
@@ -274,7 +301,7 @@
             asked("slack", status=0, ended_at=10 * SECOND + 200_000),
             asked("broken", status=0),
             BrokenOff(10 * SECOND, "w1", "broken"),
-            asked("working", status=0, ended_at=15 * SECOND),
+            asked("working", status=0, ended_at=17 * SECOND),
             arrived("working"),
             ran("working"),
             Shown(7_100_000, "i-1", "draining"),
@@ -294,7 +321,50 @@
         ledger.take(asked("v", status=0))
         self.assertEqual([b.rule for b in find_breaches(ledger)], ["LOST"])
         ledger.take(Trouble(9 * SECOND, "w1", "engine", "stopped"))
-        self.assertEqual(find_breaches(ledger), [], "a worker was stopped within the time of contact")
+        self.assertEqual([b.rule for b in find_breaches(ledger)], ["LOST"], "it was not at that worker")
+        ledger.take(arrived("v"))
+        self.assertEqual(find_breaches(ledger), [], "its worker was stopped within the time of contact")
+
+    def test_what_is_not_lost_late_or_old_during_a_fault_that_lasts(self) -> None:
+        """A fault counts from its beginning to its end, however long it lasts."""
+        stopped = Trouble(10 * SECOND, "front-1", "router", "stopped")
+        for begin, end, name, program in (
+            ("cut", "healed", "engine-1", "engine"),
+            ("frozen", "woken", "core-1", "control_plane"),
+            ("faulty", "sound", "engine-1", "engine"),
+        ):
+            lasting = [Trouble(2 * SECOND, name, program, begin), Trouble(30 * SECOND, name, program, end)]
+            self.assert_sound(stopped, *lasting, asked("x", status=0))
+        listed = [Trouble(0, "cloud", "cloud", "cut"), Trouble(9 * SECOND, "cloud", "cloud", "healed")]
+        self.assert_sound(Shown(0, "i-1", "draining"), *listed, asked("x"), arrived("x"))
+        newer = VersionNamed(SECOND, SECOND, "m", 2)
+        link = [Trouble(SECOND, "engine-1", "engine", "cut"), Trouble(9 * SECOND, "engine-1", "engine", "healed")]
+        self.assert_sound(newer, *link)
+
+    def test_what_is_not_counted_of_kept_connections(self) -> None:
+        self.assert_sound(*closed_without_answer(3))
+        self.assert_sound(*closed_without_answer(4), Trouble(8 * SECOND, "w1", "engine", "killed"))
+        self.assert_sound(*closed_without_answer(4), Trouble(8 * SECOND, "front-1", "router", "woken"))
+        self.assert_sound(*closed_without_answer(4), *(BrokenOff(10 * SECOND, "w1", f"closed-{n}") for n in range(4)))
+
+    def test_configurations_bind_machines_in_touch(self) -> None:
+        old_key = asked("x", key="k9")
+        changed = {**CONFIG, "Revision": 4}
+        dropped = {**CONFIG, "Tenants": [*CONFIG["Tenants"], {"Name": "four", "Keys": ["k9"]}]}
+        story: list[Any] = [
+            ConfigSent(0, SECOND, 2, 0, 200, {**dropped, "Revision": 2}),
+            ConfigSent(6 * SECOND, 7 * SECOND, 4, 3, 200, changed),
+            ConfigRead(20 * SECOND, 4, changed),
+            old_key,
+            arrived("x", tenant="four"),
+            ran("x", tenant="four"),
+        ]
+        ledger = sound_ledger()
+        for record in story:
+            ledger.take(record)
+        self.assertEqual({b.rule for b in find_breaches(ledger)}, {"CONFIG"})
+        ledger.take(Trouble(9 * SECOND, "front-1", "router", "woken"))
+        self.assertNotIn("older configuration", " ".join(b.line() for b in find_breaches(ledger)))
 
     def assert_sound(self, *records: Any) -> None:
         ledger = sound_ledger()
--- a/tests/test_site_sockets.py
+++ b/tests/test_site_sockets.py
@@ -136,6 +136,33 @@
         _, world = self.outcome_of(late=1.0)
         self.assertLessEqual({f.partition(":")[0] for f in world.report.faults}, {"MIXED"})
 
+    def test_only_what_the_worker_itself_breaks_off_is_recorded_as_broken_off(self) -> None:
+        """A node that closes in the middle of an answer is no excuse for itself."""
+
+        async def story() -> None:
+            world = World()
+            world.model.settings = replace(FAST, step_micros=200_000)
+            request = world.draw.draw()
+            headers = {"X-Request-Id": "left", "X-Deadline": "9000", **request.headers}
+            connection = RawConnection(world.engine_address)
+            await connection.open()
+            await connection.send(request.method, request.path, headers, request.body)
+            await connection.read_head()
+            connection.close()
+            while world.model.running:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            self.assertEqual((world.ledger.broken_off, world.ledger.finished), ([], []))
+            world.model.settings = FAST
+            self.assertTrue((await world.call(world.short())).is_whole)
+            self.assertEqual(len(world.ledger.finished), 1)
+            world.site.apply_faults({"cut": 1.0})
+            await world.call(world.short())
+            self.assertEqual(len(world.ledger.broken_off), 1)
+            world.close()
+
+        self.play(story())
+
     def test_turned_away_not_run(self) -> None:
         async def story() -> None:
             world = World()
