`testbed soak`: real processes under overlapping faults, seed by seed

Loopback proxies between callers and front nodes, front nodes and workers, front nodes and the list, operator and cores cut, delay, reset, refuse, swallow answers and say 429. Messages between nodes are not proxied: a node tells its own address and has no setting for another.

--- a/src/pearhead/testbed/main.py
+++ b/src/pearhead/testbed/main.py
@@ -32,6 +32,8 @@
 from pearhead.testbed.simulator.scale import run_entries, run_nodes, table
 from pearhead.testbed.simulator.scenarios import SCENARIOS
 from pearhead.testbed.simulator.sweep import Sweep, run_as_they_end
+from pearhead.testbed.soak.run import soak
+from pearhead.testbed.soak.schedule import SoakProfile
 from pearhead.testbed.standin import build_stand_in
 
 SIGNALS = {"kill": signal.SIGKILL, "freeze": signal.SIGSTOP, "wake": signal.SIGCONT}
@@ -134,6 +136,24 @@
         strikes.launcher.wait_ready()
         finish_site(judge_site(folder))
 
+    def soak(
+        self, seeds: int = 1, seed: int = 1, seconds: float = 40.0, journal: str = "", kept: str = "soak-failures"
+    ) -> None:
+        """Runs real processes under overlapping faults, one fleet a seed, and judges them by the platform's rules.
+
+        A run that breaks a rule stays in the folder --kept with its schedule, ledger and logs.
+        """
+        failed_count = soak(
+            list(range(seed, seed + seeds)),
+            SoakProfile(seconds=seconds),
+            Path(kept).absolute(),
+            Path(journal) if journal else None,
+            lambda line: print(line, flush=True),
+        )
+        print(f"{seeds} runs, {failed_count} broke a rule")
+        if failed_count:
+            raise SystemExit(1)
+
     def name_weights(self, folder: str, version: int) -> None:
         """Names new weights at an emulated site, as its operator does."""
         print(SiteLauncher(folder).name_version(version))
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,206 @@
+"""The soak test: its schedules, its proxies, its scan of logs, what it makes of a broken fleet, and a short run."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+import unittest
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from pearhead.runtime.clock import MILLI, SECOND
+from pearhead.testbed.emulator.launcher import ROOT
+from pearhead.testbed.soak.faultproxy import SOUND_LINK, TOO_MANY_REQUESTS, FaultProxy, LinkFault
+from pearhead.testbed.soak.logscan import fault_lines, scan_logs
+from pearhead.testbed.soak.run import play_seed
+from pearhead.testbed.soak.schedule import (
+    SHORT_PROFILE,
+    FaultKind,
+    ScheduledFault,
+    ScheduleMaker,
+    SoakProfile,
+)
+
+SHORT_SEED = 1
+
+
+class ScheduleTest(unittest.TestCase):
+    def test_a_seed_gives_the_same_schedule_and_another_gives_another(self) -> None:
+        profile = SoakProfile()
+        first = ScheduleMaker(profile, 1).make()
+        self.assertEqual(first, ScheduleMaker(profile, 1).make())
+        self.assertNotEqual(first, ScheduleMaker(profile, 2).make())
+        self.assertEqual([f.begin_micros for f in first], sorted(f.begin_micros for f in first))
+
+    def test_all_kinds_come_over_many_seeds(self) -> None:
+        kinds = {f.kind for seed in range(20) for f in ScheduleMaker(SoakProfile(), seed).make()}
+        self.assertEqual(kinds, set(FaultKind))
+
+    def test_two_or_three_overlap_at_most_moments_of_a_stretch(self) -> None:
+        for seed in range(5):
+            faults = ScheduleMaker(SoakProfile(seconds=14.0), seed).make()
+            moments = range(2 * SECOND, 13 * SECOND, 250 * MILLI)
+            counts = [sum(f.begin_micros <= at < f.begin_micros + f.duration_micros for f in faults) for at in moments]
+            self.assertLessEqual(max(counts), 3)
+            self.assertGreater(sum(count >= 2 for count in counts), 0.6 * len(counts))
+
+    def test_no_process_is_struck_twice_at_a_time(self) -> None:
+        for seed in range(20):
+            taken: dict[str, ScheduledFault] = {}
+            for fault in ScheduleMaker(SoakProfile(), seed).make():
+                for name in fault.targets:
+                    if name in taken:
+                        self.assertGreaterEqual(fault.begin_micros, taken[name].end_micros)
+                    taken[name] = fault
+
+
+class EchoServer:
+    """Answers each line with itself, in capitals."""
+
+    def __init__(self) -> None:
+        self.server: asyncio.Server | None = None
+        self.lines: list[bytes] = []
+        self.reset_count = 0
+
+    async def open(self) -> str:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while line := await reader.readline():
+                self.lines.append(line)
+                writer.write(line.upper())
+                await writer.drain()
+        except ConnectionResetError:
+            self.reset_count += 1
+        writer.close()
+
+
+class FaultProxyTest(unittest.TestCase):
+    def play(self, story: Coroutine[Any, Any, None]) -> None:
+        async def run() -> None:
+            async with asyncio.timeout(20):
+                await story
+
+        asyncio.run(run())
+
+    async def open(self) -> tuple[EchoServer, FaultProxy, str]:
+        echo = EchoServer()
+        proxy = FaultProxy("127.0.0.1:0", await echo.open(), random.Random(1))
+        await proxy.open()
+        assert proxy.server is not None
+        return echo, proxy, str(proxy.server.sockets[0].getsockname()[1])
+
+    async def close(self, echo: EchoServer, proxy: FaultProxy) -> None:
+        await proxy.close()
+        assert echo.server is not None
+        echo.server.close()
+
+    def test_a_sound_link_passes_bytes_and_ends(self) -> None:
+        async def story() -> None:
+            echo, proxy, port = await self.open()
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"one\n")
+            self.assertEqual(await reader.readline(), b"ONE\n")
+            writer.write_eof()
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+            await self.close(echo, proxy)
+
+        self.play(story())
+
+    def test_a_cut_link_holds_bytes_until_it_heals(self) -> None:
+        async def story() -> None:
+            echo, proxy, port = await self.open()
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"one\n")
+            await reader.readline()
+            proxy.set_fault(LinkFault(is_cut=True))
+            writer.write(b"two\n")
+            with self.assertRaises(TimeoutError):
+                await asyncio.wait_for(reader.readline(), 0.1)
+            self.assertEqual(echo.lines, [b"one\n"])
+            proxy.set_fault(SOUND_LINK)
+            self.assertEqual(await reader.readline(), b"TWO\n")
+            writer.close()
+            await self.close(echo, proxy)
+
+        self.play(story())
+
+    def test_what_was_sent_before_a_reset_does_not_arrive_once_a_cut_link_heals(self) -> None:
+        """A kernel drops what it holds when its owner resets the connection; an order must not arrive late."""
+
+        async def story() -> None:
+            echo, proxy, port = await self.open()
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"one\n")
+            await reader.readline()
+            proxy.set_fault(LinkFault(is_cut=True))
+            writer.write(b"two\n")
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+            await asyncio.sleep(0.05)
+            proxy.set_fault(SOUND_LINK)
+            await asyncio.sleep(0.05)
+            await self.close(echo, proxy)
+
+        self.play(story())
+
+    def test_faults_of_answers(self) -> None:
+        async def story() -> None:
+            echo, proxy, port = await self.open()
+            proxy.set_fault(LinkFault(reset_share=1.0))
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"one\n")
+            with self.assertRaises(ConnectionResetError):
+                await reader.readline()
+            proxy.set_fault(LinkFault(lost_share=1.0))
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"two\n")
+            with self.assertRaises(TimeoutError):
+                await asyncio.wait_for(reader.readline(), 0.1)
+            self.assertEqual(echo.lines, [b"one\n", b"two\n"])
+            writer.close()
+            proxy.set_fault(LinkFault(is_refusing=True))
+            with self.assertRaises(ConnectionResetError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                await reader.readexactly(1)
+            proxy.set_fault(LinkFault(canned_answer=TOO_MANY_REQUESTS))
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            self.assertTrue((await reader.read()).startswith(b"HTTP/1.1 429 "))
+            writer.close()
+            proxy.set_fault(LinkFault(delay_micros=100 * MILLI))
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"three\n")
+            with self.assertRaises(TimeoutError):
+                await asyncio.wait_for(reader.readexactly(1), 0.05)
+            writer.close()
+            await self.close(echo, proxy)
+
+        self.play(story())
+
+
+class LogScanTest(unittest.TestCase):
+    def test_errors_and_tracebacks_are_told(self) -> None:
+        sound = "2026-12-02T03:36:44.250765Z WARNING consensus: The disk is full.\nERROR of another form\n"
+        fault = "2026-12-02T03:36:44.250765Z ERROR edge: A request ended by a fault."
+        self.assertEqual(fault_lines(sound), [])
+        self.assertEqual(fault_lines(sound + fault), [fault])
+        self.assertEqual(len(fault_lines("Traceback (most recent call last):\n  File x\n")), 1)
+        with tempfile.TemporaryDirectory() as folder:
+            Path(folder, "front-1.log").write_text(fault)
+            self.assertEqual(list(scan_logs(Path(folder))), [f"front-1: {fault}"])
+
+
+@unittest.skipUnless((ROOT / "platform" / "run_router.py").exists(), "the platform's programs are not here")
+class ShortSoakTest(unittest.TestCase):
+    def test_a_short_soak_breaks_no_rule(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            result = play_seed(SHORT_SEED, SHORT_PROFILE, Path(folder))
+            self.assertEqual(result.breaches, [], "\n".join(result.report()))
+            self.assertGreater(result.outcomes["done"], 0)
+            self.assertEqual(list(Path(folder).iterdir()), [], "a sound run keeps nothing")
