--- a/src/pearhead/testbed/emulator/plannedcheckers.py
+++ b/src/pearhead/testbed/emulator/plannedcheckers.py
@@ -11,6 +11,9 @@
 UNPLANNED = ("killed", "frozen", "woken", "commanded")
 CUTS_RATIO = 3
 USED_SHARE = 0.7
+# What a worker still runs so late in a stop may be cut, if it was sent soon after the stop began.
+LAST_SHARE_OF_GRACE = 6
+SENT_SOON_MICROS = 3 * SECOND
 
 
 class Drain:
@@ -75,10 +78,14 @@
                 is_around = asked.ended_at >= stopped.at and asked.sent_at <= (
                     stopped.at + bounds.grace_micros + SECOND
                 )
-                was_at_work = asked.request_id in ran and asked.ended_at >= stopped.at + bounds.grace_micros // 2
-                if is_around and not was_at_work:
+                if is_around and not self._was_at_work_at_the_end(asked, stopped, ran, bounds):
                     yield f"{asked.request_id} was cut by {stopped.name}, which was stopped as planned"
 
+    def _was_at_work_at_the_end(self, asked: Try, stopped: Trouble, ran: set[str], bounds: SiteBounds) -> bool:
+        last_at = stopped.at + bounds.grace_micros - bounds.grace_micros // LAST_SHARE_OF_GRACE
+        is_sent_soon = asked.sent_at <= stopped.at + SENT_SOON_MICROS
+        return asked.request_id in ran and is_sent_soon and asked.ended_at >= last_at
+
     def _beside_reloads(self, ledger: SiteLedger, cut: list[Try], bounds: SiteBounds) -> Iterator[str]:
         for told in (t for t in ledger.troubles if t.what == "reloaded"):
             for asked in (a for a in cut if a.node == told.name):
