Test: a leaving front node as a process refuses a late request and stays answerable

Cause: test_drain holds the parts together in one process; the program's own order of steps was seen by no test. A head that began before SIGTERM and ends after the handover gets 503 draining with its id, Retry-After and Connection: close; readiness still answers 503 then; the process ends with 0. Ruled out: nothing.

--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -7,6 +7,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -85,6 +86,38 @@
         self.assertEqual(process.wait(WAIT_SECONDS), 0)
         self.check_log(log_path)
 
+    def test_a_front_node_that_leaves_refuses_what_arrives_late_and_stays_answerable(self) -> None:
+        addresses = {"Front": f"{self.host}:8167", "Readiness": f"{self.host}:8162"}
+        process, log_path = self.start(
+            "run_router.py", Serves=["front"], BindAddresses=addresses, CloudApi={"Address": f"{self.host}:8161"}
+        )
+        self.wait_for(log_path, "router: Listens.")
+        late = socket.create_connection((self.host, 8167), timeout=WAIT_SECONDS)
+        self.addCleanup(late.close)
+        late.sendall(b"GET /x/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: ")
+        process.send_signal(signal.SIGTERM)
+        stopped_seconds = time.monotonic()
+        while self.is_listening(8167):
+            self.assertLess(time.monotonic(), stopped_seconds + WAIT_SECONDS)
+            time.sleep(0.05)
+        self.assertGreater(time.monotonic() - stopped_seconds, 2.8, "callers still come")
+        self.assertEqual(status_of(addresses["Readiness"], "/v1/readiness"), 503)
+        self.assertIsNone(process.poll(), "a request has begun to arrive")
+        late.sendall(b"late-1\r\n\r\n")
+        answer = late.makefile("rb").read()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+        for part in (b"Connection: close\r\n", b"X-Request-Id: late-1\r\n", b"Retry-After: 0.050\r\n", b'"draining"'):
+            self.assertIn(part, answer)
+        self.assertEqual(process.wait(WAIT_SECONDS), 0)
+        self.check_log(log_path)
+
+    def is_listening(self, port: int) -> bool:
+        try:
+            socket.create_connection((self.host, port), timeout=WAIT_SECONDS).close()
+        except ConnectionRefusedError:
+            return False
+        return True
+
     def test_a_core_outlives_a_change_of_its_settings_and_stops(self) -> None:
         data_folder = self.folder / "data"
         data_folder.mkdir()
