--- a/src/pearhead/router/upstream.py
+++ b/src/pearhead/router/upstream.py
@@ -52,7 +52,10 @@
 
 
 class _AnswerDelegate(HTTPMessageDelegate):
-    def __init__(self) -> None:
+    """Gathers one answer. `stream`: its connection, whose end is that of an answer without a length."""
+
+    def __init__(self, stream: IOStream) -> None:
+        self.stream = stream
         loop = asyncio.get_running_loop()
         self.head: asyncio.Future[tuple[int, str, HTTPHeaders] | None] = loop.create_future()
         self.chunks: deque[bytes] = deque()
@@ -73,8 +76,8 @@
         self.wake.set()
 
     def finish(self) -> None:
-        # Without a length, a close says nothing of whether the answer was whole.
-        self.is_whole = self.is_framed
+        # Without a length an answer ends with its connection; one that was reset or timed out is not whole.
+        self.is_whole = self.is_framed or self.stream.error is None
         self.wake.set()
 
     def on_connection_close(self) -> None:
@@ -99,7 +102,7 @@
         self.terms = terms
         self.kept = kept
         self.rested_micros = pool.clock.now() - kept.since_micros if kept is not None else 0
-        self.delegate = _AnswerDelegate()
+        self.delegate = _AnswerDelegate(stream)
         self.reader: asyncio.Task[None] | None = None
         self.headers: HTTPHeaders | None = None
 
