--- a/tests/test_site_fleet.py
+++ b/tests/test_site_fleet.py
@@ -92,9 +92,10 @@
 
         self.call_beside(90, 400, lambda: self.kill("core-1"))
         self.call_beside(90, 500, lambda: self.kill("front-1"))
-        launcher.command_worker("engine-2", {"cut": 0.1, "lost": 0.1, "late": 0.1, "extra": 0.1, "fails": 0.1})
+        shares = dict.fromkeys(("cut", "lost", "late", "extra", "fails", "split"), 0.1)
+        launcher.command_worker("engine-2", shares)
         self.call_beside(90, 600, lambda: self.kill("engine-1"))
-        launcher.command_worker("engine-2", dict.fromkeys(("cut", "lost", "late", "extra", "fails"), 0.0))
+        launcher.command_worker("engine-2", dict.fromkeys(shares, 0.0))
         for name in ("core-1", "front-1", "engine-1"):
             launcher.start(name)
         launcher.wait_ready()
