--- a/src/pearhead/testbed/main.py
+++ b/src/pearhead/testbed/main.py
@@ -33,7 +33,7 @@
 from pearhead.testbed.simulator.scenarios import SCENARIOS
 from pearhead.testbed.simulator.sweep import Sweep, run_as_they_end
 from pearhead.testbed.soak.run import soak
-from pearhead.testbed.soak.schedule import SoakProfile
+from pearhead.testbed.soak.schedule import SHORT_PROFILE, SoakProfile
 from pearhead.testbed.standin import build_stand_in
 
 SIGNALS = {"kill": signal.SIGKILL, "freeze": signal.SIGSTOP, "wake": signal.SIGCONT}
@@ -137,15 +137,22 @@
         finish_site(judge_site(folder))
 
     def soak(
-        self, seeds: int = 1, seed: int = 1, seconds: float = 40.0, journal: str = "", kept: str = "soak-failures"
+        self,
+        seeds: int = 1,
+        seed: int = 1,
+        seconds: float = 40.0,
+        journal: str = "",
+        kept: str = "soak-failures",
+        short: bool = False,
     ) -> None:
         """Runs real processes under overlapping faults, one fleet a seed, and judges them by the platform's rules.
 
-        A run that breaks a rule stays in the folder --kept with its schedule, ledger and logs.
+        A run that breaks a rule stays in the folder --kept with its schedule, ledger and logs. --short plays the form
+        that CI plays.
         """
         failed_count = soak(
             list(range(seed, seed + seeds)),
-            SoakProfile(seconds=seconds),
+            SHORT_PROFILE if short else SoakProfile(seconds=seconds),
             Path(kept).absolute(),
             Path(journal) if journal else None,
             lambda line: print(line, flush=True),
--- a/src/pearhead/testbed/soak/faults.py
+++ b/src/pearhead/testbed/soak/faults.py
@@ -81,19 +81,19 @@
 
     # ---- processes ---------------------------------------------------------------------------------
 
-    def _look_for_ends(self, names: tuple[str, ...]) -> None:
+    def look_for_ends(self, names: tuple[str, ...]) -> None:
         """A process that is to be struck must still live."""
         self.ended_by_themselves.extend(name for name in names if not self.fleet.is_alive(name))
 
     async def _kill(self, fault: ScheduledFault) -> None:
-        self._look_for_ends(fault.targets)
+        self.look_for_ends(fault.targets)
         await asyncio.gather(*(self.fleet.kill(name) for name in fault.targets))
         await rest(self.clock, fault.duration_micros)
         for name in fault.targets:
             self.fleet.start(name)
 
     async def _freeze(self, fault: ScheduledFault) -> None:
-        self._look_for_ends(fault.targets)
+        self.look_for_ends(fault.targets)
         for name in fault.targets:
             self.fleet.send_signal(name, signal.SIGSTOP)
         await rest(self.clock, fault.duration_micros)
@@ -110,7 +110,7 @@
         await asyncio.gather(*restarts)
 
     async def _restart(self, name: str) -> None:
-        self._look_for_ends((name,))
+        self.look_for_ends((name,))
         await self.fleet.stop_planned(name)
         self.fleet.start(name)
 
--- a/src/pearhead/testbed/soak/fleet.py
+++ b/src/pearhead/testbed/soak/fleet.py
@@ -152,9 +152,9 @@
         for name in list(self.plan["frozen"]):
             self.send_signal(name, signal.SIGCONT)
 
-    async def wait_all_ready(self) -> None:
-        """Raises NotReadyError if a front node does not become ready in time."""
-        end_at = self.clock.now() + READY_MICROS
+    async def wait_all_ready(self, limit_micros: int = READY_MICROS) -> None:
+        """Raises NotReadyError if a front node does not become ready within the limit."""
+        end_at = self.clock.now() + limit_micros
         while unready := await self._unready():
             if self.clock.now() > end_at:
                 raise NotReadyError(", ".join(unready))
--- a/src/pearhead/testbed/soak/run.py
+++ b/src/pearhead/testbed/soak/run.py
@@ -18,8 +18,10 @@
 
 from pearhead.runtime.clock import SECOND, rest
 from pearhead.testbed.emulator.checkers import find_breaches
+from pearhead.testbed.emulator.client import CallReport
 from pearhead.testbed.emulator.ledger import LedgerFile
 from pearhead.testbed.emulator.rules import Breach
+from pearhead.testbed.launcher import Launcher
 from pearhead.testbed.soak.faults import FaultRunner
 from pearhead.testbed.soak.fleet import NotReadyError, SoakFleet
 from pearhead.testbed.soak.logscan import scan_logs
@@ -106,7 +108,7 @@
             await self._end(fleet, traffic, sinks[1])
             await traffic_task
             breaches.extend(Breach("ENDED", f"{name} ended by itself") for name in runner.ended_by_themselves)
-            breaches.extend(self._look_at_the_end(fleet, traffic))
+            breaches.extend(look_at_the_end(fleet, traffic.report))
             return traffic.report.outcomes
         finally:
             await fleet.close_proxies()
@@ -126,13 +128,6 @@
         await fleet.open_operator(sink, 0, f"last {self.seed}").read()
         traffic.stop()
 
-    def _look_at_the_end(self, fleet: SoakFleet, traffic: SoakTraffic) -> list[Breach]:
-        dead = [name for name in fleet.plan["processes"] if not fleet.is_alive(name)]
-        found = [Breach("ENDED", f"{name} is down at the end") for name in dead]
-        if not traffic.report.outcomes["done"]:
-            found.append(Breach("SERVED", "no request was served"))
-        return found
-
     def _judge(self, fleet: SoakFleet, breaches: list[Breach], outcomes: Counter[str]) -> SoakResult:
         ledger = fleet.ledger()
         found = [*breaches, *find_breaches(ledger), *(Breach("LOGS", told) for told in scan_logs(self.folder_path))]
@@ -147,6 +142,15 @@
         )
 
 
+def look_at_the_end(fleet: Launcher, report: CallReport) -> list[Breach]:
+    """What must hold once all faults are over: every process lives, and requests were served."""
+    dead = [name for name in fleet.plan["processes"] if not fleet.is_alive(name)]
+    found = [Breach("ENDED", f"{name} is down at the end") for name in dead]
+    if not report.outcomes["done"]:
+        found.append(Breach("SERVED", "no request was served"))
+    return found
+
+
 def play_seed(seed: int, profile: SoakProfile, kept_path: Path) -> SoakResult:
     """Plays one seed; a failed run stays under `kept_path` with its seed, schedule, ledger and logs."""
     kept_path.mkdir(parents=True, exist_ok=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,15 +6,20 @@
 import random
 import tempfile
 import unittest
+from collections import Counter
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
 from pearhead.runtime.clock import MILLI, SECOND
+from pearhead.testbed.emulator.client import CallReport
 from pearhead.testbed.emulator.launcher import ROOT
+from pearhead.testbed.emulator.ledger import LedgerFile
 from pearhead.testbed.soak.faultproxy import SOUND_LINK, TOO_MANY_REQUESTS, FaultProxy, LinkFault
+from pearhead.testbed.soak.faults import FaultRunner
+from pearhead.testbed.soak.fleet import NotReadyError, SoakFleet
 from pearhead.testbed.soak.logscan import fault_lines, scan_logs
-from pearhead.testbed.soak.run import play_seed
+from pearhead.testbed.soak.run import look_at_the_end, play_seed
 from pearhead.testbed.soak.schedule import (
     SHORT_PROFILE,
     FaultKind,
@@ -190,12 +195,56 @@
         fault = "2026-12-02T03:36:44.250765Z ERROR edge: A request ended by a fault."
         self.assertEqual(fault_lines(sound), [])
         self.assertEqual(fault_lines(sound + fault), [fault])
+        invariant = "2026-12-02T03:36:44.250765Z ERROR daemon: An invariant does not hold. invariant=order detail='x'"
+        self.assertEqual(fault_lines(invariant), [invariant])
         self.assertEqual(len(fault_lines("Traceback (most recent call last):\n  File x\n")), 1)
         with tempfile.TemporaryDirectory() as folder:
             Path(folder, "front-1.log").write_text(fault)
             self.assertEqual(list(scan_logs(Path(folder))), [f"front-1: {fault}"])
 
 
+class FakeFleet(SoakFleet):
+    """Processes that live or not, and front nodes that are ready or not, as a test says."""
+
+    def __init__(self, folder: str, dead: tuple[str, ...] = (), unready: tuple[str, ...] = ()) -> None:
+        super().__init__(folder)
+        self.plan = {"processes": {"core-1": {}, "front-1": {}}}
+        self.dead, self.unready = dead, unready
+
+    def is_alive(self, name: str) -> bool:
+        return name not in self.dead
+
+    async def _unready(self) -> list[str]:
+        return list(self.unready)
+
+
+class OwnChecksTest(unittest.TestCase):
+    """Each check of the soak itself finds what is planted for it, and nothing else."""
+
+    def setUp(self) -> None:
+        self.folder = self.enterContext(tempfile.TemporaryDirectory())
+
+    def found_at_the_end(self, fleet: FakeFleet, done_count: int) -> list[str]:
+        return [b.rule for b in look_at_the_end(fleet, CallReport(Counter(done=done_count)))]
+
+    def test_what_is_down_or_not_served_at_the_end(self) -> None:
+        self.assertEqual(self.found_at_the_end(FakeFleet(self.folder), 1), [])
+        self.assertEqual(self.found_at_the_end(FakeFleet(self.folder, dead=("front-1",)), 1), ["ENDED"])
+        self.assertEqual(self.found_at_the_end(FakeFleet(self.folder), 0), ["SERVED"])
+
+    def test_a_process_that_ended_by_itself_before_it_was_struck(self) -> None:
+        sink = LedgerFile(Path(self.folder, "operator.jsonl"))
+        runner = FaultRunner(FakeFleet(self.folder, dead=("core-1",)), 1, sink, lambda config: None)
+        runner.look_for_ends(("front-1", "core-1"))
+        self.assertEqual(runner.ended_by_themselves, ["core-1"])
+        sink.close()
+
+    def test_a_front_node_that_does_not_become_ready(self) -> None:
+        asyncio.run(FakeFleet(self.folder).wait_all_ready(0))
+        with self.assertRaisesRegex(NotReadyError, "front-1"):
+            asyncio.run(FakeFleet(self.folder, unready=("front-1",)).wait_all_ready(0))
+
+
 @unittest.skipUnless((ROOT / "platform" / "run_router.py").exists(), "the platform's programs are not here")
 class ShortSoakTest(unittest.TestCase):
     def test_a_short_soak_breaks_no_rule(self) -> None:
