--- a/src/pearhead/control_plane/main.py
+++ b/src/pearhead/control_plane/main.py
@@ -10,20 +10,21 @@
 from typing import Any
 
 from result import Err
-from tornado.httpserver import HTTPServer
 
 from pearhead.config.description import MAXIMUM_DESCRIPTION
-from pearhead.config.startup import Startup, end_with, read_startup, startup_help
+from pearhead.config.startup import Startup, exit_with_faults, read_startup, startup_help
 from pearhead.consensus.wal import WalCorruptError
 from pearhead.control_plane.core import CoreProcess
 from pearhead.control_plane.events import EventTeller, http_post
 from pearhead.control_plane.folder import FolderReader
+from pearhead.control_plane.metrics import build_core_registry
 from pearhead.control_plane.operatorapi import build_operator_api
 from pearhead.control_plane.rescue import Rescue
 from pearhead.runtime.clock import BootClock
 from pearhead.runtime.command import run_command
 from pearhead.runtime.daemon import open_logs, serve_until_stopped
 from pearhead.runtime.disk import FolderBusyError, FolderDisk
+from pearhead.runtime.draining_server import DrainingServer
 from pearhead.runtime.socketnet import SocketNet, split_address
 
 LOGGER = logging.getLogger("pearhead")
@@ -41,10 +42,11 @@
         LOGGER.error("control_plane: Must stop. reason=%r", reason)
         failed.set()
 
+    clock = BootClock()
     net = SocketNet(startup.address)
-    core = CoreProcess(startup, BootClock(), net, disk, random.SystemRandom(), fail)
-    server = HTTPServer(
-        build_operator_api(core, startup),
+    core = CoreProcess(startup, clock, net, disk, random.SystemRandom(), fail)
+    server = DrainingServer(
+        build_operator_api(core, startup, build_core_registry(core, net)),
         max_body_size=2 * MAXIMUM_DESCRIPTION,
         max_header_size=startup.headerLimitBytes,
     )
@@ -63,8 +65,15 @@
         teller = EventTeller(http_post(startup.eventSink))
         core.tell_event = teller.tell
         core.crew.start(teller.run())
-    status = await serve_until_stopped(core.drain, failed)
-    server.stop()
+
+    async def drain() -> None:
+        begun_micros = clock.now()
+        server.begin_drain()
+        await core.drain()
+        # What an operator asked before is answered: a command may be under way at other cores.
+        await server.finish_drain(clock, startup.drainMicros - (clock.now() - begun_micros))
+
+    status = await serve_until_stopped(drain, failed)
     core.stop()
     net.close()
     return status
@@ -80,7 +89,7 @@
             return None
         checked = read_startup(startup, flags, needs_folder=True)
         if isinstance(checked, Err):
-            return end_with("control_plane", checked.err_value)
+            return exit_with_faults("control_plane", checked.err_value)
         open_logs(checked.ok_value.logLevel)
         raise SystemExit(asyncio.run(_serve(checked.ok_value)))
 
@@ -88,7 +97,7 @@
         """Looks at a data folder, read-only: log, digests, epochs, members. Non-zero if it is damaged."""
         folder_path = Path(folder)
         if not folder_path.is_dir():
-            return end_with("control_plane", [f"{folder}: no such folder"])
+            return exit_with_faults("control_plane", [f"{folder}: no such folder"])
         reader = FolderReader(folder_path)
         report = asyncio.run(reader.read())
         print(reader.text(report))
@@ -100,10 +109,10 @@
         try:
             disk = FolderDisk(Path(folder))
         except (FolderBusyError, OSError) as fault:
-            return end_with("control_plane", [str(fault)])
+            return exit_with_faults("control_plane", [str(fault)])
         outcome = asyncio.run(Rescue(disk).run(str(identity), address, consent))
         if isinstance(outcome, Err):
-            return end_with("control_plane", [outcome.err_value])
+            return exit_with_faults("control_plane", [outcome.err_value])
         print(f"control_plane: core {identity} is the only voter from entry {outcome.ok_value} on")
 
     def check(self, startup: str = "", **flags: Any) -> None:
@@ -113,7 +122,7 @@
             return None
         checked = read_startup(startup, flags, needs_folder=True)
         if isinstance(checked, Err):
-            return end_with("control_plane", checked.err_value)
+            return exit_with_faults("control_plane", checked.err_value)
         print("control_plane: the startup is sound")
 
 
--- a/src/pearhead/router/gate.py
+++ b/src/pearhead/router/gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import logging
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 
 from pearhead.config.description import Route, Tenant
 from pearhead.config.view import View
+from pearhead.router.drain import DRAINING_DETAIL, DrainSchedule, DrainState
 from pearhead.router.errors import ErrorKind, Refusal
 from pearhead.router.event_stream import EventSplitter
 from pearhead.router.fleet_budget import FleetBudget
@@ -20,6 +22,7 @@
 from pearhead.router.opaque import AnswerHead, AnswerPen, Dialect, Directions, OpaqueRequest, Verdict
 from pearhead.router.placer import Choice, Placer
 from pearhead.router.read_book import LongRead, ReadBook
+from pearhead.router.stream_sequence import StreamViolation
 from pearhead.router.upstream import ANY_REST_MICROS, NO_ROOM, CallTerms, UpstreamCall, UpstreamPool
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 
@@ -64,10 +67,11 @@
         """None while the node may not serve by what it knows."""
 
 
-@dataclass
+@dataclass(eq=False)
 class Passage:
     """One request on its way. `may_have_run`: a worker may have begun it; `has_begun`: the caller has a head;
-    `is_fresh`: it was sent to no worker and waited for no other's read."""
+    `is_fresh`: it was sent to no worker and waited for no other's read; `is_ending`: `task`, which carries it, was
+    cancelled to give it its final answer before the process ends."""
 
     request: OpaqueRequest
     pen: AnswerPen
@@ -80,6 +84,8 @@
     has_begun: bool = False
     is_fresh: bool = True
     is_done: bool = False
+    is_ending: bool = False
+    task: asyncio.Task[None] | None = None
     tried: set[str] = field(default_factory=set)
     retry_micros: int = SOON_MICROS
 
@@ -104,6 +110,9 @@
         node_count: Callable[[], int],
         note_versions: Callable[[str, AnswerHead], None],
         reads: ReadBook | None = None,
+        drain: DrainState | None = None,
+        on_violation: Callable[[str], None] = lambda name: None,
+        check_send: Callable[[], None] = lambda: None,
     ) -> None:
         self.clock = clock
         self.current = current
@@ -115,51 +124,65 @@
         self.node_count = node_count
         self.note_versions = note_versions
         self.reads = reads or ReadBook(clock, placer.expect, lambda note: None)
-        self.open_requests = 0
+        self.taken_count = 0
+        self.drain = drain or DrainState(clock, DrainSchedule.of_grace(SECOND))
+        self.passages: set[Passage] = set()
+        self.on_violation = on_violation
+        self.check_send = check_send
         self.outcomes: dict[str, int] = {}
 
     async def serve(self, request: OpaqueRequest, pen: AnswerPen) -> None:
         """Ends with a whole answer, a refusal, or an aborted connection; nothing is left open behind it."""
-        passage = Passage(request, pen, EventSplitter(request.last_event_id))
-        self.open_requests += 1
+        passage = Passage(request, pen, EventSplitter(request.last_event_id), task=asyncio.current_task())
+        self.passages.add(passage)
+        self.taken_count += 1
         try:
-            await self._hold_until_known(request, pen)
+            await self._pass(passage)
+        except asyncio.CancelledError:
+            if not passage.is_ending:
+                raise
+            self._end_passage(passage)
+        finally:
+            self.passages.discard(passage)
+
+    async def _pass(self, passage: Passage) -> None:
+        """From the first look at what is in force to the answer."""
+        request, pen = passage.request, passage.pen
+        await self._hold_until_known(request, pen)
+        looked = self._look(request)
+        if isinstance(looked, Err):
+            return self._refuse(passage, looked.err_value)
+        way = looked.ok_value
+        wait_micros = min(request.wait_micros or way.route.deadline_micros, way.route.deadline_micros)
+        passage.deadline_micros = request.arrived_micros + wait_micros
+        self.budget.pay_in(way.route.splits[0].service, self.node_count())
+        last = Refusal(ErrorKind.NO_WORKER, "no worker took it", passage.retry_micros)
+        while not passage.is_done:
+            if pen.is_gone():
+                return self._count("caller_gone")
+            left_micros = passage.deadline_micros - self.clock.now()
+            if left_micros <= 0:
+                last = Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
+                break
             looked = self._look(request)
             if isinstance(looked, Err):
-                return self._refuse(passage, looked.err_value)
+                last = looked.err_value
+                break
             way = looked.ok_value
-            wait_micros = min(request.wait_micros or way.route.deadline_micros, way.route.deadline_micros)
-            passage.deadline_micros = request.arrived_micros + wait_micros
-            self.budget.pay_in(way.route.splits[0].service, self.node_count())
-            last = Refusal(ErrorKind.NO_WORKER, "no worker took it", passage.retry_micros)
-            while not passage.is_done:
-                if pen.is_gone():
-                    return self._count("caller_gone")
-                left_micros = passage.deadline_micros - self.clock.now()
-                if left_micros <= 0:
-                    last = Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
-                    break
-                looked = self._look(request)
-                if isinstance(looked, Err):
-                    last = looked.err_value
-                    break
-                way = looked.ok_value
-                if not self._may_try(passage, way.route):
-                    break
-                chosen = self.placer.choose(way.view, way.route, request, way.tenant, frozenset(passage.tried))
-                if isinstance(chosen, Err):
-                    last = chosen.err_value
-                    break
-                choice = chosen.ok_value
-                if passage.is_fresh and await self.reads.wait_for(choice, request, left_micros // 4):
-                    passage.is_fresh = False
-                    continue
+            if not self._may_try(passage, way.route):
+                break
+            chosen = self.placer.choose(way.view, way.route, request, way.tenant, frozenset(passage.tried))
+            if isinstance(chosen, Err):
+                last = chosen.err_value
+                break
+            choice = chosen.ok_value
+            if passage.is_fresh and await self.reads.wait_for(choice, request, left_micros // 4):
                 passage.is_fresh = False
-                last = await self._carry(passage, way, choice)
-            if not passage.is_done:
-                self._give_up(passage, last)
-        finally:
-            self.open_requests -= 1
+                continue
+            passage.is_fresh = False
+            last = await self._carry(passage, way, choice)
+        if not passage.is_done:
+            self._give_up(passage, last)
 
     # ---- what is in force ------------------------------------------------------------------------
 
@@ -179,6 +202,8 @@
         return self.placer.knows_workers()
 
     def _look(self, request: OpaqueRequest) -> Result[Way, Refusal]:
+        if not self.drain.may_accept():
+            return Err(Refusal(ErrorKind.DRAINING, DRAINING_DETAIL))
         view = self.current.view()
         if view is None:
             back_micros = NOT_CURRENT_MICROS + _spread(request.request_id, NOT_CURRENT_SPREAD_MICROS)
@@ -203,6 +228,8 @@
             return False
         if passage.may_have_run and not _may_repeat(route):
             return False
+        if passage.has_begun and not _may_continue(passage, route):
+            return False
         return self.budget.take_out(route.splits[0].service, self.node_count())
 
     # ---- one worker --------------------------------------------------------------------------------
@@ -211,6 +238,9 @@
         """Sends it to one worker. What it returns is told if nobody else takes it."""
         request, worker = passage.request, choice.backend.name
         passage.placements += 1
+        if not passage.splitter.sequence.accepts_version(choice.version):
+            passage.tried.add(worker)
+            return Refusal(ErrorKind.NO_WORKER, "a worker has older weights than the answer so far", SOON_MICROS)
         left_micros = passage.deadline_micros - self.clock.now()
         called = await self.pool.call(choice.backend.address, self._call_terms(way, choice, left_micros))
         if isinstance(called, Err):
@@ -222,6 +252,9 @@
         held_tokens = request.prompt_tokens() + request.output_tokens
         waiting = _Waiting(self.loads, worker, choice.missing_tokens, held_tokens)
         try:
+            if passage.pen.is_gone():
+                # A cancellation that comes as the connection stands is lost in `asyncio.wait_for`.
+                return Refusal(ErrorKind.NO_WORKER, "the caller is gone")
             looked = self._look(request)
             if (
                 isinstance(looked, Err)
@@ -249,6 +282,8 @@
             passage.had_run = passage.may_have_run
             passage.may_have_run = True
             waiting.begin()
+            self.drain.check_send(request.request_id)
+            self.check_send()
             call.send(request.method, request.target, headers, request.body)
             waiting.read = self.reads.begin(choice, request)
             return await self._relay(passage, way, choice, directions, call, waiting, sent_micros)
@@ -313,27 +348,28 @@
     ) -> Refusal:
         """Event by event as they come; each only when it is whole."""
         worker, pen = choice.backend.name, passage.pen
-        if passage.has_begun:
-            passage.splitter.go_on_elsewhere()
+        passage.splitter.begin_run(choice.version)
         async for chunk in call.chunks(lambda: passage.deadline_micros - self.clock.now()):
             if pen.is_gone():
                 passage.is_done = True
                 self._count("caller_gone")
                 return Refusal(ErrorKind.OUTCOME_UNKNOWN)
             events = passage.splitter.feed(chunk)
-            if not events:
-                continue
-            if waiting.is_waiting:
+            if events and waiting.is_waiting:
                 waiting.first_event()
                 self.placer.expect(worker, choice.salt, [part.part for part in passage.request.parts[:-1]])
                 self.loads.learn_pace(
                     worker, choice.missing_tokens, choice.expected_micros, self.clock.now() - sent_micros
                 )
-            if not passage.has_begun:
+            if events and not passage.has_begun:
                 passage.has_begun = True
                 pen.begin(head.status, head.reason, _passed_on(head.headers))
-            pen.write(events)
-        if not call.is_whole() or passage.splitter.pending:
+            if events:
+                pen.write(events)
+            if passage.splitter.violation is not None:
+                break
+        if not call.is_whole() or not passage.splitter.end_run():
+            self._note_violation(passage.splitter.violation)
             self.loads.take_fault(worker)
             return Refusal(ErrorKind.OUTCOME_UNKNOWN, "the stream was cut")
         if not passage.has_begun:
@@ -394,6 +430,22 @@
 
     # ---- ends --------------------------------------------------------------------------------------
 
+    def open_count(self) -> int:
+        """Requests that have no whole answer yet."""
+        return len(self.passages)
+
+    def end_open(self) -> None:
+        """Gives each open request its final answer; one of which a part was written is cut."""
+        for passage in self.passages:
+            passage.is_ending = True
+            if passage.task is not None:
+                passage.task.cancel()
+
+    def _end_passage(self, passage: Passage) -> None:
+        if not passage.is_done:
+            LOGGER.warning("router: Ends before a request. tries=%d", passage.tries)
+            self._give_up(passage, Refusal(ErrorKind.DRAINING, DRAINING_DETAIL))
+
     def _give_up(self, passage: Passage, last: Refusal) -> None:
         if passage.has_begun:
             # The caller has a part of a stream: it must not look whole.
@@ -418,6 +470,11 @@
             passage.pen.write(body)
         passage.pen.finish()
 
+    def _note_violation(self, violation: StreamViolation | None) -> None:
+        if violation is not None:
+            self._count(violation.value)
+            self.on_violation(violation.value)
+
     def _count(self, outcome: str) -> None:
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
 
@@ -465,6 +522,11 @@
     return route.repeatable or (route.stream and route.resumable)
 
 
+def _may_continue(passage: Passage, route: Route) -> bool:
+    """Whether another run may be joined to what the caller has already been given."""
+    return route.stream and route.resumable and passage.splitter.sequence.is_resumable()
+
+
 def _urgency(route: Route, tenant: Tenant | None) -> int:
     """The tenant's rank goes before the route's, within 0 to 9."""
     return min(9, 2 * min(tenant.urgency if tenant is not None else 2, 4) + min(route.urgency, 1))
--- a/src/pearhead/router/main.py
+++ b/src/pearhead/router/main.py
@@ -8,24 +8,28 @@
 from typing import Any
 
 from result import Err
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from pearhead.config.startup import Startup, end_with, read_startup, startup_help
+from pearhead.config.startup import Startup, exit_with_faults, read_startup, startup_help
 from pearhead.router.front import build_front
+from pearhead.router.metrics import build_node_registry
 from pearhead.router.node import NodeProcess
 from pearhead.router.tornadocarrier import TornadoCarrier, TornadoWorkerLink
-from pearhead.runtime.clock import BootClock
+from pearhead.runtime.clock import SECOND, BootClock
 from pearhead.runtime.command import run_command
 from pearhead.runtime.daemon import open_logs, serve_until_stopped
+from pearhead.runtime.draining_server import DrainingServer
 from pearhead.runtime.socketnet import SocketNet, split_address
 
+LAST_ANSWERS_MICROS = SECOND
+
 
 async def _serve(startup: Startup) -> int:
+    clock = BootClock()
     net = SocketNet(startup.address)
-    node = NodeProcess(startup, BootClock(), net, TornadoCarrier(), TornadoWorkerLink(), random.SystemRandom())
-    server = HTTPServer(
-        build_front(node, startup),
+    node = NodeProcess(startup, clock, net, TornadoCarrier(), TornadoWorkerLink(), random.SystemRandom())
+    server = DrainingServer(
+        build_front(node, startup, build_node_registry(node, net)),
         max_body_size=startup.bodyLimitBytes,
         max_header_size=startup.headerLimitBytes,
         idle_connection_timeout=60,
@@ -41,15 +45,17 @@
         return 2
     node.start()
 
-    async def open_door() -> None:
+    async def start_accepting() -> None:
         await node.wait_open()
         server.add_sockets(bound_sockets)
 
-    node.crew.start(open_door())
+    node.crew.start(start_accepting())
 
     async def drain() -> None:
-        server.stop()
+        server.begin_drain()
         await node.drain()
+        # The last jobs have ended; their last lines, and refusals, may not be written yet.
+        await server.finish_drain(clock, LAST_ANSWERS_MICROS)
 
     status = await serve_until_stopped(drain, asyncio.Event())
     node.stop()
@@ -57,7 +63,7 @@
     return status
 
 
-class LatheCommand:
+class RouterCommand:
     """A front node of pearhead."""
 
     def run(self, startup: str = "", **flags: Any) -> None:
@@ -67,7 +73,7 @@
             return None
         checked = read_startup(startup, flags, needs_folder=False)
         if isinstance(checked, Err):
-            return end_with("router", checked.err_value)
+            return exit_with_faults("router", checked.err_value)
         open_logs(checked.ok_value.logLevel)
         raise SystemExit(asyncio.run(_serve(checked.ok_value)))
 
@@ -78,12 +84,13 @@
             return None
         checked = read_startup(startup, flags, needs_folder=False)
         if isinstance(checked, Err):
-            return end_with("router", checked.err_value)
+            return exit_with_faults("router", checked.err_value)
         print("router: the startup is sound")
 
 
 def main() -> None:
-    run_command(LatheCommand, "router")
+    """Runs the `router` command line."""
+    run_command(RouterCommand, "router")
 
 
 if __name__ == "__main__":
--- a/src/pearhead/testbed/emulator/enginefront.py
+++ b/src/pearhead/testbed/emulator/enginefront.py
@@ -31,12 +31,13 @@
 )
 from pearhead.testbed.emulator.enginedriver import EngineDriver
 from pearhead.testbed.emulator.enginefaults import EngineFaults
-from pearhead.testbed.emulator.ledger import Arrival, BrokenOff, RecordSink, body_digest
+from pearhead.testbed.emulator.ledger import Arrival, BrokenOff, Finished, RecordSink, body_digest
 
 IDLE_SECONDS = 30
 FORGET_MICROS = 200 * MILLI
 CLOSE_SHARE = 0.02
 LATE_MICROS = 20 * MILLI
+FIRST_SPLIT_SHARE = 0.5
 DEFAULT_DEADLINE_MICROS = 30 * SECOND
 
 
@@ -130,6 +131,7 @@
 
     ticket = 0
     is_last = False
+    is_left = False
 
     async def serve(self) -> None:
         request_id, status = self.header("X-Request-Id"), 0
@@ -158,6 +160,7 @@
     get = post = put = delete = patch = head = options = serve
 
     def on_connection_close(self) -> None:
+        self.is_left = True
         if self.ticket:
             self.site.driver.cancel(self.ticket)
 
@@ -215,6 +218,10 @@
                 case TimedOut() if not is_begun:
                     await self.turn_away(504, is_run=True)
                     return
+                case Broken() if self.is_left:
+                    # The node closed first: the worker has broken off nothing.
+                    self._auto_finish = False
+                    return
                 case Broken() | TimedOut():
                     self.break_off(is_reset=True)
                     return
@@ -230,12 +237,28 @@
                         return
                     pieces_out += 1
                     piece = Piece(output.number, run, piece_text(digest, output.number), output.version)
+                    if fault == "split" and self._is_split(output.number, wanted):
+                        await self._split(piece)
+                        return
                     self.write(piece.encode())
                     await self.flush()
                 case Ended():
                     await self._end(wanted, fault)
                     return
 
+    def _is_split(self, number: int, wanted: EngineRequest) -> bool:
+        """The first event of a run as often as any of the later ones."""
+        is_first = number == wanted.resumed_from + 1
+        return not is_first or self.site.chance.random() < FIRST_SPLIT_SHARE
+
+    async def _split(self, piece: Piece) -> None:
+        """Breaks off inside an event, after some of its bytes have gone out."""
+        event_bytes = piece.encode()
+        self.write(event_bytes[: self.site.chance.randrange(1, len(event_bytes))])
+        await self.flush()
+        await rest(self.site.clock, LATE_MICROS)
+        self.break_off(is_reset=True)
+
     def _begin(self, wanted: EngineRequest, begun: Begun, digest: str) -> None:
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("X-Request-Id", wanted.request_id)
@@ -259,6 +282,7 @@
 
     async def _end(self, wanted: EngineRequest, fault: str) -> None:
         stream = self.stream
+        self.site.sink.take(Finished(self.site.clock.now(), self.model.worker, wanted.request_id))
         await self.finish()
         if fault in ("extra", "late") and not stream.closed():
             if fault == "late":
