--- a/src/pearhead/router/drain.py
+++ b/src/pearhead/router/drain.py
@@ -134,7 +134,9 @@
 
 
 class OpenRequests(Protocol):
-    """The requests that the node has accepted."""
+    """The requests that the node has accepted. `taken_count`: how many since the process started."""
+
+    taken_count: int
 
     def open_count(self) -> int:
         """Those without a whole answer."""
@@ -154,11 +156,19 @@
     async def run(self) -> None:
         """Returns when the process may end: when nothing is open, or at the last end."""
         self.state.begin()
+        open_before, taken_before = self.requests.open_count(), self.requests.taken_count
         # Also with nothing open: callers still come until they have learned that this node leaves.
         await self._wait_until(self.state.schedule.handover_micros, ends_idle=False)
         self.edge.stop_accepting()
         await self._wait_until(self.state.schedule.end_micros, ends_idle=True)
+        open_after = self.requests.open_count()
         await self.end()
+        LOGGER.info(
+            "router: The drain is over. open_before=%d taken=%d cut=%d",
+            open_before,
+            self.requests.taken_count - taken_before,
+            open_after,
+        )
 
     async def end(self) -> None:
         """The last end: answers or cuts what is open and waits a short time for the answers to be written out."""
--- a/src/pearhead/router/edge.py
+++ b/src/pearhead/router/edge.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -49,6 +50,8 @@
 # At the end no more connections are accepted than this, however fast callers make them.
 MOST_ACCEPTED = 4_096
 LEAST_LOOK_MICROS = 20 * MILLI
+# SO_LINGER switched on with no time to linger: closing sends a reset and drops what was not sent.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Limits that became shorter are followed this late at most.
 MOST_LOOK_MICROS = SECOND
 
@@ -88,6 +91,7 @@
         self.closes = closes
         self.gone = False
         self.is_over = False
+        self.ends_with_connection = False
         self.on_gone: Callable[[], object] = lambda: None
         connection.set_close_callback(self._close)
 
@@ -97,6 +101,7 @@
             self.connection._disconnect_on_finish = True
         start = ResponseStartLine("HTTP/1.1", status, reason or _reason_of(status))
         self._ignore(self.connection.write_headers(start, headers))
+        self.ends_with_connection = not (self.connection._chunking_output or "Content-Length" in headers)
         if not self.gone:
             self.connection.stream.set_nodelay(True)
 
@@ -110,7 +115,10 @@
             self.connection.finish()
 
     def abort(self) -> None:
+        """Without chunks or a length, a plain close would say that the answer is complete: it is reset instead."""
         self.is_over = True
+        if self.ends_with_connection and not self.is_gone():
+            self.connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.connection.close()
 
     def is_gone(self) -> bool:
@@ -239,6 +247,7 @@
         stream = ClientStream(connection, self.edge, max_buffer_size=self.max_buffer_size)
         self.edge.streams.add(stream)
         self.handle_stream(stream, address)
+        self.edge.connection_count += 1
 
     def stop_accepting(self) -> None:
         """Takes the connections that are made already, closes the listening sockets and all idle connections."""
@@ -268,6 +277,7 @@
 
     def on_close(self, server_conn: object) -> None:
         assert isinstance(server_conn, HTTP1ServerConnection) and isinstance(server_conn.stream, ClientStream)
+        self.edge.connection_count -= 1
         self.edge.forget(server_conn.stream)
         self.edge.streams.discard(server_conn.stream)
         super().on_close(server_conn)
@@ -290,6 +300,7 @@
         self.reader = reader
         self.handler = handler
         self.limits = limits
+        self.connection_count = 0
         self.drain = drain or DrainState(clock, DrainSchedule.of_grace(SECOND))
         self.lingering = LingeringSockets()
         self.streams: set[ClientStream] = set()
--- a/src/pearhead/router/gateway.py
+++ b/src/pearhead/router/gateway.py
@@ -18,6 +18,7 @@
 from pearhead.router.kept_gatherer import KeptGatherer
 from pearhead.router.kept_index import KeptIndex
 from pearhead.router.load_book import LoadBook
+from pearhead.router.node_count import NodeCount
 from pearhead.router.opaque import AnswerHead, Dialect
 from pearhead.router.part_salt import PartSalt
 from pearhead.router.placer import Placer
@@ -36,6 +37,8 @@
 from pearhead.rpc.wire_pb2 import KeptNote, ReadNote, Record, UseNote
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 from pearhead.runtime.crew import Crew
+from pearhead.runtime.invariants import Invariant, InvariantCounters
+from pearhead.runtime.loop_lag import LoopLag
 from pearhead.runtime.net import Net
 
 LOGGER = logging.getLogger("pearhead")
@@ -43,6 +46,8 @@
 USE_REPEAT_MICROS = 600 * MILLI
 SWEEP_MICROS = SECOND
 SAMPLE_SIZE = 3
+# From the choice of a worker until the request arrives there.
+ON_ITS_WAY_MICROS = 500 * MILLI
 # How long after SIGTERM the process is killed, where nobody tells it.
 GRACE_MICROS = 8 * SECOND
 
@@ -51,7 +56,8 @@
 class GatewaySettings:
     """`serve_on_micros`: how long a node serves by a view that it could not confirm since (§5.5).
 
-    `log_stats_micros`: how often a line of counts is logged; never if it is 0.
+    `log_stats_micros`: how often a line of counts is logged; never if it is 0. `leaving_micros`: how long a worker
+    serves on once the list shows that it leaves.
     """
 
     retry_ratio: float = 0.1
@@ -61,6 +67,7 @@
     list_micros: int = SECOND
     least_kept_tokens: int = 512
     log_stats_micros: int = 60 * SECOND
+    leaving_micros: int = 3 * SECOND
     drain_schedule: DrainSchedule = DrainSchedule.of_grace(GRACE_MICROS)
 
 
@@ -80,6 +87,8 @@
         self.clock = clock
         self.chance = chance
         self.crew = Crew("router")
+        self.invariants = InvariantCounters(clock)
+        self.loop_lag = LoopLag(clock)
         self.identity = chance.randbytes(12).hex()
         self.courier = Courier(self.identity, startup.address, net, clock)
         record = Record(
@@ -92,12 +101,21 @@
         self.directory = Directory(record, startup.seeds, self.courier, clock, chance)
         self.keeper = TermKeeper(self.courier, self.directory, clock, chance, self.crew, startup.termMicros)
         self.listener = Listener(self.courier, self.directory, clock, chance, self.crew, startup.tableLifetimeMicros)
+        self.shared_count = NodeCount(clock, settings.serve_on_micros)
         self.loads = LoadBook(clock)
         self.index = KeptIndex()
         self.versions = VersionBook(clock)
         self.weights = WeightsClock(clock, self.keeper, startup.oldWeightsMicros)
         self.rosters = RosterKeeper(
-            self.identity, self.courier, self.directory, clock, chance, self.crew, control, settings.list_micros
+            self.identity,
+            self.courier,
+            self.directory,
+            clock,
+            chance,
+            self.crew,
+            control,
+            settings.list_micros,
+            self.invariants,
         )
         self.rosters.watchers.append(self.versions.take_roster)
         self.gatherer = KeptGatherer(
@@ -146,7 +164,7 @@
         budget = FleetBudget(clock, settings.retry_ratio, settings.retry_slack, settings.retry_window_micros)
         self.reads = ReadBook(clock, self.placer.expect, self._tell_read)
         self.courier.on_tell("read_note", self._take_read)
-        self.drain = DrainState(clock, settings.drain_schedule)
+        self.drain = DrainState(clock, settings.drain_schedule, self._take_drain_violation)
         self.gate = Gate(
             clock,
             self,
@@ -155,12 +173,14 @@
             self.pool,
             budget,
             dialect,
-            self._node_count,
+            self.node_count,
             self._note_versions,
             self.reads,
             self.drain,
+            check_send=self._check_roster,
         )
         self.stats_log = StatsLog(clock, self.gate, self.pool, budget, settings.log_stats_micros)
+        self.taken_before_drain = 0
         self.held_limits: tuple[bytes | None, ClientLimits] = (None, ClientLimits())
         self.courier.on_tell("use_note", self._take_use)
 
@@ -188,8 +208,13 @@
     def begin_drain(self) -> None:
         """From now on it is not ready, and orders no more loads."""
         self.roll_out.is_draining = True
+        self.taken_before_drain = self.gate.taken_count
         self.drain.begin()
 
+    def taken_draining(self) -> int:
+        """Requests taken since the drain began."""
+        return self.gate.taken_count - self.taken_before_drain if self.drain.is_draining() else 0
+
     def is_ready(self) -> bool:
         """Knows what is in force, and a worker; a draining node takes no new connections."""
         return not self.drain.is_draining() and self.view() is not None and bool(self.rosters.roster.backends)
@@ -209,8 +234,9 @@
             self.held_limits = (body, ClientLimits.of(self.keeper.view.description.limits))
         return self.held_limits[1]
 
-    def _node_count(self) -> int:
-        return len(self.directory.members("router")) + 1
+    def node_count(self) -> int:
+        """Front nodes that this one shares with, itself among them."""
+        return self.shared_count.note(len(self.directory.members("router")) + 1)
 
     def _note_versions(self, worker: str, head: AnswerHead) -> None:
         for line, version in head.versions.items():
@@ -219,6 +245,15 @@
     def _take_use(self, identity: str, address: str, note: UseNote) -> None:
         self.loads.take(identity, note)
 
+    def _take_drain_violation(self, detail: str) -> None:
+        self.invariants.check(Invariant.DRAIN_FINISHES, False, detail)
+
+    def _check_roster(self) -> None:
+        """Called as a request is sent: the list behind its placement must be young enough to know who leaves."""
+        bound_micros = max(self.settings.leaving_micros - ON_ITS_WAY_MICROS, SECOND)
+        is_fresh = self.rosters.is_fresh_within(bound_micros)
+        self.invariants.check(Invariant.ROSTER_IS_FRESH, is_fresh, self.rosters.age_micros())
+
     def _sample(self, backends: list[Backend]) -> list[Backend]:
         """Many nodes with the same late word of all would all send to the same worker: each looks at a few (§8.8)."""
         if not self.relay.is_active() or len(backends) <= SAMPLE_SIZE:
@@ -232,7 +267,7 @@
         """What this node has at workers, to all nodes, when it changed and now and then (§8.8)."""
         told_micros = 0
         while True:
-            await rest(self.clock, USE_MICROS)
+            await self.loop_lag.rest(USE_MICROS)
             now_micros = self.clock.now()
             if self.relay.is_active():
                 continue
--- a/src/pearhead/testbed/capacity/change_costs.py
+++ b/src/pearhead/testbed/capacity/change_costs.py
@@ -110,16 +110,16 @@
 class Trio:
     """Three members that agree, the first of them leading."""
 
-    def __init__(self, **limits: int) -> None:
+    def __init__(self) -> None:
         self.crew = Crew("change_costs")
         self.clock = StepClock()
         self.disks = [CountingDisk() for _ in range(MEMBER_COUNT)]
         self.fleets = [Fleet() for _ in range(MEMBER_COUNT)]
         self.told_bytes = 0
         self.told_count = 0
-        self.members = [self._build_member(number, limits) for number in range(MEMBER_COUNT)]
+        self.members = [self._build_member(number) for number in range(MEMBER_COUNT)]
 
-    def _build_member(self, number: int, limits: dict[str, int]) -> RaftMember:
+    def _build_member(self, number: int) -> RaftMember:
         def tell(address: str, body_name: str, body: Message) -> None:
             body_bytes = body.SerializeToString()
             self.told_bytes += len(body_bytes)
@@ -133,7 +133,7 @@
 
         wal = Wal(self.disks[number])
         fleet, chance = self.fleets[number], random.Random(number)
-        return RaftMember(str(number), wal, fleet, tell, self.clock, chance, self.crew, fail, **limits)
+        return RaftMember(str(number), wal, fleet, tell, self.clock, chance, self.crew, fail)
 
     @property
     def leader(self) -> RaftMember:
@@ -142,10 +142,10 @@
     async def start(self) -> None:
         for member in self.members:
             await member.recover()
-        await self.leader.found("0")
+        await self.leader.bootstrap("0")
         for member in self.members:
             member.start()
-        self.leader.take_elect_now("0", "0", ElectNow(epoch=self.leader.epoch))
+        self.leader.take_elect_now("0", "0", ElectNow(epoch=self.leader.term))
         await self.until(self.leader.settled)
         for count in range(2, MEMBER_COUNT + 1):
             changed = [Member(identity=str(n), address=str(n), voter=True) for n in range(count)]
@@ -278,7 +278,7 @@
         told_bytes=told,
         written_bytes=written,
         held_bytes=trio.disks[0].held_bytes(),
-        entry_count=len(leader.entries),
+        entry_count=len(leader.log.entries),
         snapshot_bytes=len(fleet.take_digest()),
         snapshot_micros=_processor_micros(fleet.take_digest),
         lookup_micros=_processor_micros(lambda: _look_up(leader)) / LOOKUP_COUNT,
