--- a/src/pearhead/router/term.py
+++ b/src/pearhead/router/term.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 from result import Err
 
@@ -56,6 +57,8 @@
         self.first_seen: dict[tuple[str, int], int] = {}
         self.named_after: dict[tuple[str, int], int] = {}
         self.has_view = False
+        # Called with each view that comes in, once all above is noted of it.
+        self.view_observers: list[Callable[[View], None]] = []
         self.packer = DeltaPacker()
         courier.on_ask("term_ask", self._make_colleague_result)
 
@@ -198,6 +201,8 @@
             # When this node last knew itself current, without it, it was not acknowledged yet.
             self.named_after.setdefault((line_name, fact.revision), self.current_at if self.has_view else LONG_AGO)
         self.has_view = True
+        for observe in self.view_observers:
+            observe(next_view)
         if next_view.description_revision != old_revision:
             LOGGER.info(
                 "router: A description is in force. revision=%d number=%d",
--- a/src/pearhead/router/weights_clock.py
+++ b/src/pearhead/router/weights_clock.py
@@ -8,7 +8,11 @@
 
 
 class WeightsClock:
-    """The first naming after a version counts, from when this node last knew of none: that was before its yes."""
+    """The first naming after a version counts, from when this node last knew of none: that was before its yes.
+
+    Each view is noted as it comes in. Noted with the next request only, those that came before a node's first request
+    would be missed, and a node that has just started would grant old weights a time anew.
+    """
 
     def __init__(self, clock: Clock, keeper: TermKeeper, old_micros: int) -> None:
         self.clock = clock
@@ -16,6 +20,7 @@
         self.old_micros = old_micros
         self.seen_view: View | None = None
         self.named_at: dict[tuple[str, int], int] = {}
+        keeper.view_observers.append(self._note)
 
     def may_use(self, view: View, line: str, version: int) -> bool:
         if view is not self.seen_view:
--- /dev/null
+++ b/tests/test_weights_clock.py
@@ -0,0 +1,75 @@
+"""How long old weights may still be used at a node that has just started."""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+
+from pearhead.config.view import View, hash_sections
+from pearhead.discovery.directory import Directory
+from pearhead.router.term import TermKeeper
+from pearhead.router.weights_clock import WeightsClock
+from pearhead.rpc.courier import Courier
+from pearhead.rpc.wire_pb2 import Record, Section, TermResult, ViewDelta
+from pearhead.runtime.bench import Bench
+from pearhead.runtime.clock import SECOND
+from pearhead.runtime.crew import Crew
+
+LINE = "model"
+OLD_MICROS = 6 * SECOND
+
+
+def naming(index: int, version: int) -> TermResult:
+    """A whole view in which these weights are the present ones."""
+    body = json.dumps({LINE: {"weights": str(version), "revision": index}}).encode()
+    sections = {**View().sections, "weights": (index, body)}
+    delta = ViewDelta(index=index, hash=hash_sections(sections))
+    delta.section.append(Section(name="weights", index=index, body=body))
+    return TermResult(member=True, delta=delta)
+
+
+class WeightsClockTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench()
+        courier = Courier("me", "a:1", self.bench, self.bench)
+        directory = Directory(Record(identity="me"), ["s:1"], courier, self.bench, random.Random(1))
+        self.keeper = TermKeeper(courier, directory, self.bench, random.Random(1), Crew("test"), SECOND)
+        self.clock = WeightsClock(self.bench, self.keeper, OLD_MICROS)
+
+    def take(self, index: int, version: int) -> None:
+        """A view comes in, as from a core, and the node knows itself current."""
+        self.keeper._take_delta(naming(index, version))
+        self.keeper.current_at = self.bench.now()
+
+    def may_use(self, version: int) -> bool:
+        return self.clock.may_use(self.keeper.view, LINE, version)
+
+    def test_old_weights_serve_for_a_while_after_newer_ones_were_named(self) -> None:
+        self.take(1, 1)
+        self.assertTrue(self.may_use(1))
+        self.take(2, 2)
+        self.assertTrue(self.may_use(1))
+        self.bench.now_micros += OLD_MICROS
+        self.assertFalse(self.may_use(1))
+        self.assertTrue(self.may_use(2))
+
+    def test_a_node_that_starts_grants_weights_before_the_present_ones_nothing(self) -> None:
+        self.take(2, 2)
+        self.assertFalse(self.may_use(1))
+
+    def test_so_it_stays_if_others_are_named_before_its_first_request(self) -> None:
+        """Nobody asks before the first request; what was named until then counts all the same."""
+        self.take(2, 2)
+        self.take(3, 3)
+        self.assertFalse(self.may_use(1), "2 was named before this node started")
+        self.assertTrue(self.may_use(2))
+
+    def test_each_naming_counts_from_its_own_time_if_no_request_comes_between(self) -> None:
+        self.take(1, 1)
+        self.take(2, 2)
+        self.bench.now_micros += OLD_MICROS
+        self.keeper.current_at = self.bench.now()
+        self.take(3, 3)
+        self.assertFalse(self.may_use(1))
+        self.assertTrue(self.may_use(2))
