Emulator: a worker that ends at work does not end its answers as whole

Tornado ends the answer of a cancelled handler regularly, and all handlers are cancelled when the emulated worker's process ends. It resets the connection now and records that it broke off. Ruled out: the front node, which passed on what had come as whole.

--- a/src/pearhead/testbed/emulator/enginefront.py
+++ b/src/pearhead/testbed/emulator/enginefront.py
@@ -154,6 +154,9 @@
             await self._answer(wanted, outputs)
         except StreamClosedError:
             self._auto_finish = False
+        except asyncio.CancelledError:
+            # The process ends. Tornado would end the answer as if it were whole.
+            self.break_off(is_reset=True)
         finally:
             self.site.driver.cancel(self.ticket)
 
--- a/tests/test_site_sockets.py
+++ b/tests/test_site_sockets.py
@@ -27,7 +27,7 @@
 from pearhead.testbed.emulator.operator import SiteOperator
 from pearhead.testbed.emulator.plan import Machine, PlanMaker, SiteSize
 from pearhead.testbed.emulator.store import StoreModel, StoreSite, build_store
-from pearhead.testbed.emulator.wire import Answer, RawConnection, ask
+from pearhead.testbed.emulator.wire import Answer, RawConnection, WireError, ask
 
 FAST = EngineSettings(step_micros=200, prefill_tokens_per_milli=10_000.0, load_micros=1_000, dead_source_micros=1_000)
 
@@ -143,11 +143,12 @@
             world = World()
             world.model.settings = replace(FAST, step_micros=200_000)
             request = world.draw.draw()
-            headers = {"X-Request-Id": "left", "X-Deadline": "9000", **request.headers}
+            headers = {"Host": "h", "X-Request-Id": "left", "X-Deadline": "9000", **request.headers}
             connection = RawConnection(world.engine_address)
             await connection.open()
             await connection.send(request.method, request.path, headers, request.body)
-            await connection.read_head()
+            self.assertEqual((await connection.read_head()).status, 200)
+            self.assertEqual(len(world.model.running), 1)
             connection.close()
             while world.model.running:
                 await asyncio.sleep(0.01)
@@ -163,6 +164,31 @@
 
         self.play(story())
 
+    def test_a_worker_that_ends_at_work_does_not_end_its_answer_as_whole(self) -> None:
+        """Tornado finishes the answer of a handler that is cancelled, as all are when the process ends."""
+
+        async def story() -> None:
+            world = World()
+            world.model.settings = replace(FAST, step_micros=200_000)
+            request = world.draw.draw()
+            headers = {"Host": "h", "X-Request-Id": "left", "X-Deadline": "9000", **request.headers}
+            connection = RawConnection(world.engine_address)
+            await connection.open()
+            await connection.send(request.method, request.path, headers, request.body)
+            head = await connection.read_head()
+            self.assertEqual((head.status, len(world.model.running)), (200, 1))
+            for task in asyncio.all_tasks():
+                if "_execute" in repr(task.get_coro()):
+                    task.cancel()
+            with self.assertRaises(WireError):
+                async for _ in connection.read_body(head):
+                    pass
+            connection.close()
+            self.assertEqual(len(world.ledger.broken_off), 1)
+            world.close()
+
+        self.play(story())
+
     def test_turned_away_not_run(self) -> None:
         async def story() -> None:
             world = World()
