Soak: an old list of workers counts while the list answers and the node is in touch

The invariant follows DRAIN, whose time doesn't run while the platform's list is down, and which binds machines in touch. All other ERROR lines count at any time.

--- a/src/pearhead/testbed/soak/run.py
+++ b/src/pearhead/testbed/soak/run.py
@@ -10,6 +10,7 @@
 import random
 import shutil
 import tempfile
+import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
@@ -20,11 +21,11 @@
 from pearhead.testbed.emulator.checkers import find_breaches
 from pearhead.testbed.emulator.client import CallReport
 from pearhead.testbed.emulator.ledger import LedgerFile
-from pearhead.testbed.emulator.rules import Breach
+from pearhead.testbed.emulator.rules import Breach, SiteBounds, Touch
 from pearhead.testbed.launcher import Launcher
 from pearhead.testbed.soak.faults import FaultRunner
 from pearhead.testbed.soak.fleet import NotReadyError, SoakFleet
-from pearhead.testbed.soak.logscan import scan_logs
+from pearhead.testbed.soak.logscan import LogScan
 from pearhead.testbed.soak.schedule import ScheduledFault, ScheduleMaker, SoakProfile
 from pearhead.testbed.soak.traffic import SoakTraffic
 
@@ -130,7 +131,9 @@
 
     def _judge(self, fleet: SoakFleet, breaches: list[Breach], outcomes: Counter[str]) -> SoakResult:
         ledger = fleet.ledger()
-        found = [*breaches, *find_breaches(ledger), *(Breach("LOGS", told) for told in scan_logs(self.folder_path))]
+        boot_micros = time.time_ns() // 1_000 - fleet.clock.now()
+        logs = LogScan(self.folder_path, Touch(ledger, SiteBounds()), boot_micros)
+        found = [*breaches, *find_breaches(ledger), *(Breach("LOGS", told) for told in logs.find())]
         faults = Counter(f.kind.value for f in self.schedule)
         return SoakResult(
             self.seed,
