A fit tells what is zero but for rounding as zero, whichever processor runs it

Cause: numpy's OpenBLAS picks a kernel by processor, and kernels add in different orders, so `lstsq` leaves different rests where the true figure is zero.

Ruled out: the number of BLAS threads (1 and 4 give the same figure); the measurements, which are untouched.

Terms of a fit, and its largest miss, that are below `rounding_tolerance` (64 roundings of the largest value: 1.4e-14 of it, where measured values are recorded to six digits) are zero. The page's test compares whole lines as before.

--- a/src/pearhead/testbed/capacity/fit.py
+++ b/src/pearhead/testbed/capacity/fit.py
@@ -1,4 +1,8 @@
-"""LinearFit (§9.12): slopes by least squares, and the largest size predicted from the smaller ones."""
+"""LinearFit (§9.12): slopes by least squares, and the largest size predicted from the smaller ones.
+
+Which processor runs the fit decides in which order numpy's linear algebra adds, and so what rounding leaves where the
+true figure is zero. Figures that are zero but for rounding are told as zero, so that a fit is the same everywhere.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +11,15 @@
 
 import numpy
 
+ROUNDING_UNITS = 64
+"""So many roundings of the largest value may add up in a fit. Measured values are recorded to six digits: 64 roundings
+are 1.4e-14 of a value, far below the last of them."""
+
+
+def rounding_tolerance(values: Sequence[float]) -> float:
+    """The largest amount, in the unit of the values, that rounding alone may leave of a sum over them."""
+    return float(ROUNDING_UNITS * numpy.finfo(float).eps * max(abs(value) for value in values))
+
 
 @dataclass(frozen=True)
 class LinearFit:
@@ -35,7 +48,10 @@
 
 
 class Fitter:
-    """Fits a line, or with `has_square` a parabola. ValueError with fewer points than unknowns."""
+    """Fits a line, or with `has_square` a parabola. ValueError with fewer points than unknowns.
+
+    A term that moves no value by more than `rounding_tolerance` within the sizes is zero.
+    """
 
     def __init__(self, has_square: bool = False) -> None:
         self.unknowns = 3 if has_square else 2
@@ -46,9 +62,14 @@
         matrix = numpy.vander(numpy.asarray(sizes, dtype=float), self.unknowns, increasing=True)
         wanted = numpy.asarray(values, dtype=float)
         found, *_ = numpy.linalg.lstsq(matrix, wanted, rcond=None)
-        terms = [float(x) for x in found] + [0.0] * (3 - self.unknowns)
+        tolerance = rounding_tolerance(values)
+        largest_size = max(abs(size) for size in sizes)
+        terms = [0.0, 0.0, 0.0]
+        for power, factor in enumerate(found):
+            if abs(factor) * largest_size**power > tolerance:
+                terms[power] = float(factor)
         spread = float(numpy.max(numpy.abs(matrix @ found - wanted)))
-        return LinearFit(terms[0], terms[1], terms[2], spread)
+        return LinearFit(terms[0], terms[1], terms[2], spread if spread > tolerance else 0.0)
 
     def check(self, sizes: Sequence[float], values: Sequence[float]) -> Check:
         """Leaves the largest size out of the fit. ValueError with too few sizes."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -11,7 +11,7 @@
 from pearhead.rpc.wire_pb2 import Hello, Record
 from pearhead.runtime.bench import Bench
 from pearhead.testbed.capacity.axes import Axis
-from pearhead.testbed.capacity.fit import Fitter
+from pearhead.testbed.capacity.fit import Fitter, LinearFit, rounding_tolerance
 from pearhead.testbed.capacity.hollow_nodes import SharedDirectory
 from pearhead.testbed.capacity.hollow_workers import HollowWorker, HollowWorkersOrder
 from pearhead.testbed.capacity.job_load import JOBS, measure_jobs
@@ -28,6 +28,29 @@
 
 
 class FitterTest(unittest.TestCase):
+    def test_what_rounding_leaves_of_a_zero_is_zero(self) -> None:
+        """The figures of docs/capacity.json whose rounding differed between processors, to the last digit."""
+        sizes = [1, 100, 300, 1_000, 2_000]
+        through_zero = Fitter().fit(sizes, [0.15 * x for x in sizes])
+        self.assertEqual((through_zero.base, through_zero.square, through_zero.spread), (0.0, 0.0, 0.0))
+        self.assertAlmostEqual(through_zero.slope, 0.15)
+        blocks = [10_000, 100_000, 1_000_000, 3_000_000, 10_000_000]
+        constant = Fitter().fit(blocks, [37.48] * len(blocks))
+        self.assertEqual((constant.slope, constant.spread), (0.0, 0.0))
+        self.assertEqual(Fitter().fit(sizes, [0.0] * len(sizes)), LinearFit(0.0, 0.0, 0.0, 0.0))
+
+    def test_a_small_figure_that_is_more_than_rounding_is_kept(self) -> None:
+        sizes = [1, 100, 300, 1_000, 2_000]
+        values = [1e-9 + 0.15 * x for x in sizes]
+        self.assertAlmostEqual(Fitter().fit(sizes, values).base, 1e-9, delta=1e-12)
+        tolerance = rounding_tolerance(values)
+        self.assertLess(tolerance, 1e-13 * max(values))
+        blocks = [10_000, 100_000, 1_000_000, 3_000_000, 10_000_000]
+        tilted = Fitter().fit(blocks, [37.48 + 1e-18 * x for x in blocks])
+        self.assertAlmostEqual(tilted.slope, 1e-18, delta=1e-20)
+        bent = Fitter().fit(sizes, [1.0, 1.0, 1.0, 1.0, 1.0 + 1e-12])
+        self.assertGreater(bent.spread, 1e-13)
+
     def test_lines_and_parabolas_come_out_and_the_largest_is_predicted(self) -> None:
         sizes = [1.0, 2.0, 5.0, 9.0]
         line = Fitter().fit(sizes, [3 + 2 * x for x in sizes])
