Socket tests wait until the worker has run all requests before they count its runs

Cause: a race in the test. A worker that sends a stray answer ("extra") has its caller take that one for the answer to the next request. So that call returns before the worker has run the request, and the test counted the runs then: 1 or 2, by whether the worker's timer came due while the loop was being closed.

Ruled out: a request lost by the worker (both arrivals were recorded), one sent again (two tries), a ledger line that comes late (the sink is a list in the same process).

The caller now stays until every try has arrived and none waits or runs, then runs are counted as before; a request that is sent again shows as a third run now also where it would have run after the outcome. A new test forces the order: with steps of 50 ms the next request always runs after its caller's outcome.

--- a/tests/test_site_sockets.py
+++ b/tests/test_site_sockets.py
@@ -29,6 +29,8 @@
 from pearhead.testbed.emulator.store import StoreModel, StoreSite, build_store
 from pearhead.testbed.emulator.wire import Answer, RawConnection, ask
 
+POLL_SECONDS = 0.005
+SLOW_STEP_MICROS = 50_000
 FAST = EngineSettings(step_micros=200, prefill_tokens_per_milli=10_000.0, load_micros=1_000, dead_source_micros=1_000)
 
 
@@ -78,6 +80,14 @@
     async def call(self, request: SiteRequest) -> Outcome:
         return await self.client.call(request, self.report)
 
+    async def wait_idle(self) -> None:
+        """Waits until every try has reached the worker, and none waits or runs there any more.
+
+        A caller that takes a stray answer for its own has its outcome before its request has run.
+        """
+        while len(self.ledger.arrivals) < self.report.tries or self.model.queue or self.model.running:
+            await asyncio.sleep(POLL_SECONDS)
+
     def close(self) -> None:
         self.client.close()
         for server in self.servers:
@@ -92,8 +102,11 @@
 
         asyncio.run(run())
 
-    def outcome_of(self, **faults: Any) -> tuple[Outcome, World]:
-        """What a caller makes of an answer with a fault, and what it makes of the next one."""
+    def outcome_of(self, faults: dict[str, float], next_settings: EngineSettings = FAST) -> tuple[Outcome, World]:
+        """What a caller makes of an answer with a fault, and what it makes of the next one.
+
+        `next_settings`: the worker's pace for the next one. The caller stays until the worker has run both.
+        """
         held: list[Any] = []
 
         async def story() -> None:
@@ -101,7 +114,9 @@
             world.site.apply_faults(faults)
             held.extend([await world.call(world.short()), world])
             world.site.apply_faults(dict.fromkeys(faults, 0.0))
+            world.model.settings = next_settings
             held.append(await world.call(world.short()))
+            await world.wait_idle()
             world.close()
 
         self.play(story())
@@ -123,17 +138,25 @@
 
     def test_what_callers_make_of_a_worker_in_trouble(self) -> None:
         for fault, rule in (("cut", ""), ("lost", ""), ("split", ""), ("garble", "MIXED"), ("extra", "MIXED")):
-            outcome, world = self.outcome_of(**{fault: 1.0})
+            outcome, world = self.outcome_of({fault: 1.0})
             with self.subTest(fault):
                 found = {f.partition(":")[0] for f in world.report.faults}
                 self.assertEqual(found, {rule} - {""})
                 self.assertEqual(outcome.is_whole, fault == "extra")
                 self.assertEqual(len(world.ledger.runs), 2, "an answer that fails has run, and is not sent again")
-        outcome, world = self.outcome_of(fails=1.0)
+        outcome, world = self.outcome_of({"fails": 1.0})
         self.assertEqual((outcome.status, world.report.faults), (500, []))
 
+    def test_a_stray_answer_hides_that_the_next_request_runs_later(self) -> None:
+        """Its caller has its outcome at once; the slow worker runs it well after that."""
+        for fault in ("extra", "late"):
+            with self.subTest(fault):
+                _, world = self.outcome_of({fault: 1.0}, replace(FAST, step_micros=SLOW_STEP_MICROS))
+                self.assertEqual(len(world.ledger.runs), 2, "run once each, whenever the caller had its outcome")
+                self.assertEqual(world.report.tries, 2)
+
     def test_a_late_answer_lies_where_the_next_is_due(self) -> None:
-        _, world = self.outcome_of(late=1.0)
+        _, world = self.outcome_of({"late": 1.0})
         self.assertLessEqual({f.partition(":")[0] for f in world.report.faults}, {"MIXED"})
 
     def test_only_what_the_worker_itself_breaks_off_is_recorded_as_broken_off(self) -> None:
