Failing test: a node that is gone costs others what they know of workers' caches

A relay's note goes through a head of each group. Heads are drawn from all records, and those of nodes that are gone live for 5 s: each note through such a head is lost to its group, and at the gap an index forgets all that it knows of each worker in it (KeptIndex.take).

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
+from unittest.mock import Mock
 
 from google.protobuf.message import Message
 
 from pearhead.discovery.directory import Directory
+from pearhead.router.kept_gatherer import KeptGatherer, pack_note
+from pearhead.router.kept_index import KeptIndex
 from pearhead.router.load_book import LoadBook
 from pearhead.router.relay import PERIOD_MICROS, Relay
 from pearhead.rpc.courier import Courier
-from pearhead.rpc.wire_pb2 import KeptNote, Record, RelayNote
+from pearhead.rpc.wire_pb2 import KeptNote, KeptPart, Record, RelayNote
 from pearhead.runtime.bench import Bench
 
 ZONES = ("a", "b", "c")
@@ -89,6 +93,44 @@
         return self.loads[name].use_of("w").running
 
 
+class KeptFleet:
+    """A fleet whose nodes keep what they hear in real indexes; node `nK` gathers the events of worker `wK`."""
+
+    def __init__(self, size: int, worker_count: int) -> None:
+        self.fleet = Fleet(size)
+        self.worker_count = worker_count
+        self.sequence = 0
+        self.indexes = {name: KeptIndex() for name in self.fleet.relays}
+        for name, relay in self.fleet.relays.items():
+            unused: Any = Mock()
+            gatherer = KeptGatherer(
+                name, unused, unused, self.fleet.bench, unused, unused, unused, unused, self.indexes[name]
+            )
+            relay.take_kept = gatherer.take_note
+
+    def play(self, periods: int) -> None:
+        """In each period each worker keeps one part more."""
+        for _ in range(periods):
+            for number in range(self.worker_count):
+                note = KeptNote(
+                    worker=f"w{number}",
+                    life="1",
+                    from_sequence=self.sequence,
+                    sequence=self.sequence + 1,
+                    part=[KeptPart(salt="s", part=f"p{self.sequence + 1}", tokens=600, line="m")],
+                )
+                self.indexes[f"n{number}"].take(note)
+                self.fleet.relays[f"n{number}"].spread_kept(pack_note(note))
+            self.sequence += 1
+            self.fleet.play(1)
+
+    def known_share(self) -> float:
+        """Of all that all workers keep, what the running nodes know on average."""
+        running = [index for name, index in self.indexes.items() if name not in self.fleet.dead]
+        known_count = sum(len(index.parts.get(f"w{n}", ())) for index in running for n in range(self.worker_count))
+        return known_count / (len(running) * self.worker_count * self.sequence)
+
+
 class RelayTest(unittest.TestCase):
     def test_every_node_knows_the_whole_fleets_use_less_its_own_counted_once(self) -> None:
         fleet = Fleet(63)
@@ -181,6 +223,18 @@
         self.assertGreaterEqual(min(heard), 30)
         self.assertGreaterEqual(sum(heard) / len(heard), 36)
 
+    def test_nodes_that_are_gone_do_not_cost_the_others_what_workers_keep(self) -> None:
+        """A lost note is a gap, at which an index forgets all that it knows of the worker; records live for 5 s."""
+        for gone_count in (1, 6):
+            kept_fleet = KeptFleet(63, worker_count=8)
+            fleet = kept_fleet.fleet
+            kept_fleet.play(40)
+            self.assertGreater(kept_fleet.known_share(), 0.9)
+            spared = [name for name, relay in fleet.relays.items() if not relay.is_relaying and int(name[1:]) >= 8]
+            fleet.dead.update(spared[:gone_count])
+            kept_fleet.play(40)
+            self.assertGreater(kept_fleet.known_share(), 0.9, f"{gone_count} nodes are gone")
+
     def test_a_small_fleet_tells_directly(self) -> None:
         fleet = Fleet(9)
         fleet.play(2)
