A relay's note goes on by way of nodes that were heard just now

Cause: heads of groups were drawn from all records, those of nodes that are gone among them for 5 s; each note through such a head was lost to its group, and the gap made an index forget the worker. A relay hears its zone's nodes every 0.1 s, so it prefers those heard within 0.15 s, then any heard within 1.5 s; with none it tells all itself.

Ruled out: the relays themselves (none is among the nodes that are gone) and the order of notes (nothing is late in the test).

--- a/src/pearhead/router/relay.py
+++ b/src/pearhead/router/relay.py
@@ -25,13 +25,23 @@
 KEPT_LIMIT = 2_000
 # A zone of more nodes than this is told by way of some of them.
 DIRECT_FAN_OUT = 6
+# Nodes heard within this time pass notes on before others: records of nodes that are gone live for seconds.
+HEAD_HEARD_MICROS = 150 * MILLI
 FLEET = "fleet"
 
 
 @dataclass(frozen=True)
 class _Told:
     note: UseNote
-    until_micros: int
+    heard_micros: int
+
+    def is_within(self, span_micros: int, now_micros: int) -> bool:
+        """Whether it was heard no longer ago than that."""
+        return now_micros - self.heard_micros < span_micros
+
+
+def _fresh(book: dict[str, _Told], now_micros: int) -> dict[str, _Told]:
+    return {name: told for name, told in book.items() if told.is_within(FRESH_MICROS, now_micros)}
 
 
 class Relay:
@@ -105,7 +115,7 @@
         else:
             self.zone_kept, self.own_kept = self.zone_kept + self.own_kept, []
         now_micros = self.clock.now()
-        self.members = {n: told for n, told in self.members.items() if told.until_micros > now_micros}
+        self.members = _fresh(self.members, now_micros)
         self._note_relaying(own_relay is None or bool(self.members))
         if self.is_relaying:
             self._relay_once(by_zone, includes_own=own_relay is None)
@@ -128,7 +138,7 @@
             if zone != self.zone and (relay := self._relay_of(zone, records)) is not None:
                 far.append(relay.address)
         self._send(far, RelayNote(hop=1, zone=self.zone, use=zone_sum, kept=self.zone_kept))
-        self.zones = {z: told for z, told in self.zones.items() if told.until_micros > now_micros}
+        self.zones = _fresh(self.zones, now_micros)
         fleet_sum = sum_notes([zone_sum, *(told.note for told in self.zones.values())], now_micros)
         kept = [*self.zone_kept, *self.far_kept]
         self.zone_kept, self.far_kept = [], []
@@ -140,20 +150,29 @@
             self._take_fleet(fleet_sum)
 
     def _fan_out(self, records: list[Record], note: RelayNote) -> None:
-        """To a zone's nodes in two steps: the first of each group passes it on, so no link carries it all.
+        """To a zone's nodes in two steps: the head of each group passes it on, so no link carries it all.
 
-        The groups are drawn anew each time: a node that is gone costs its group one note, not all.
+        A note that is lost costs its group what is known of every worker in it, so heads are nodes that were heard
+        just now. Groups are drawn anew each time: a head that is gone all the same costs others each time.
         """
-        addresses = [record.address for record in self.chance.sample(records, len(records))]
-        if len(addresses) <= DIRECT_FAN_OUT:
-            return self._send(addresses, note)
-        group_size = math.isqrt(len(addresses) - 1) + 1
-        for start in range(0, len(addresses), group_size):
-            head, *others = addresses[start : start + group_size]
+        shuffled = self.chance.sample(records, len(records))
+        if len(shuffled) <= DIRECT_FAN_OUT:
+            return self._send([record.address for record in shuffled], note)
+        group_count = math.isqrt(len(shuffled) - 1)
+        heard = [record for record in shuffled if record.identity in self.members]
+        heads = sorted(heard, key=lambda record: not self._is_heard_just_now(record.identity))[:group_count]
+        head_identities = {head.identity for head in heads}
+        others = [record.address for record in shuffled if record.identity not in head_identities]
+        if not heads:
+            return self._send(others, note)
+        for position, head in enumerate(heads):
             copy = RelayNote()
             copy.CopyFrom(note)
-            copy.forward.extend(others)
-            self._send([head], copy)
+            copy.forward.extend(others[position :: len(heads)])
+            self._send([head.address], copy)
+
+    def _is_heard_just_now(self, identity: str) -> bool:
+        return self.members[identity].is_within(HEAD_HEARD_MICROS, self.clock.now())
 
     def _pass_on(self, note: RelayNote) -> None:
         addresses = list(note.forward)
@@ -198,10 +217,10 @@
         if note.hop and relay == chosen:
             self.chosen[note.zone] = (relay, now_micros)
         if note.hop == 0:
-            self.members[identity] = _Told(note.use, now_micros + FRESH_MICROS)
+            self.members[identity] = _Told(note.use, now_micros)
             self.zone_kept.extend(note.kept)
         elif note.hop == 1:
-            self.zones[note.zone] = _Told(note.use, now_micros + FRESH_MICROS)
+            self.zones[note.zone] = _Told(note.use, now_micros)
             self.far_kept.extend(note.kept)
         elif relay == chosen:
             self._take_fleet(note.use)
