A drain counts from SIGTERM itself, also while the event loop is busy

Cause: asyncio runs handlers of signals at the loop's next turn. The time is now taken in the signal's own handler, between two byte codes; the rest of the drain begins at the next turn as before (DrainState.begin is called once more and changes nothing). Ruled out: the clock (BOOTTIME in both processes) and the drain itself (begin is its first step).

--- a/src/pearhead/runtime/daemon.py
+++ b/src/pearhead/runtime/daemon.py
@@ -58,8 +58,15 @@
     LOGGER.setLevel(level_name)
 
 
-async def serve_until_stopped(drain: Callable[[], Awaitable[None]], failed: asyncio.Event) -> int:
-    """The first SIGTERM drains, a second one stops at once."""
+async def serve_until_stopped(
+    drain: Callable[[], Awaitable[None]],
+    failed: asyncio.Event,
+    note_signal: Callable[[], None] = lambda: None,
+) -> int:
+    """The first SIGTERM drains, a second one stops at once.
+
+    `note_signal` is called in the signal's own handler, and so in the middle of what the event loop does.
+    """
     event_loop = asyncio.get_running_loop()
     stop_events = [asyncio.Event(), asyncio.Event()]
 
@@ -68,6 +75,7 @@
 
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         event_loop.add_signal_handler(signal_number, take_signal)
+        _call_on_signal(signal_number, note_signal)
     gc.freeze()
     first_stop = asyncio.ensure_future(stop_events[0].wait())
     failure = asyncio.ensure_future(failed.wait())
@@ -80,3 +88,10 @@
     await asyncio.wait([drain_task, second_stop, failure], return_when=asyncio.FIRST_COMPLETED)
     LOGGER.info("daemon: Stops.")
     return 0
+
+
+def _call_on_signal(signal_number: int, note_signal: Callable[[], None]) -> None:
+    """Calls it at once, also while the event loop is busy; the loop still hears of the signal by its wakeup pipe."""
+    signal.signal(signal_number, lambda number, frame: note_signal())
+    # Setting a handler makes the signal interrupt system calls again.
+    signal.siginterrupt(signal_number, False)
--- a/tests/test_stop_signal.py
+++ b/tests/test_stop_signal.py
@@ -34,7 +34,7 @@
 
 async def main():
     worker = asyncio.create_task(work())
-    await serve_until_stopped(drain, asyncio.Event())
+    await serve_until_stopped(drain, asyncio.Event(), state.begin)
     worker.cancel()
 
 asyncio.run(main())
