Failing test: a resumed run that begins with retry: or event: alone is cut

Such a block has no data, so the format says that it is no event; the sequence takes it for an event without a position (POSITION_UNKNOWN), and the rest of the run is given up.

--- a/tests/test_stream_sequence.py
+++ b/tests/test_stream_sequence.py
@@ -180,6 +180,25 @@
         self.assertEqual(found, [True, False, True, False])
 
 
+class ControlBlockTest(unittest.TestCase):
+    def test_a_block_that_is_no_event_does_not_keep_a_run_from_being_joined(self) -> None:
+        """The format says that a block without data is no event; some servers begin each run with `retry`."""
+        for block in (b"retry: 2000\n\n", b"event: ping\r\n\r\n", b"retry\n: a\n\n"):
+            splitter = EventSplitter()
+            splitter.begin_run()
+            given = splitter.feed(block + events(1, 3))
+            splitter.begin_run()
+            given += splitter.feed(block + events(4, 6))
+            self.assertEqual((given, splitter.end_run()), (block + events(1, 6), True), block)
+
+    def test_a_part_of_such_a_block_still_may_be_a_part_of_an_event(self) -> None:
+        splitter = EventSplitter()
+        splitter.begin_run()
+        splitter.feed(events(1, 3) + b"event: delta")
+        splitter.begin_run()
+        self.assertEqual((splitter.feed(b""), splitter.end_run()), (b"", False))
+
+
 class FieldsTest(unittest.TestCase):
     def test_only_a_field_named_id_counts_and_the_last_of_them(self) -> None:
         for lines, event_id in (
