A block of retry: or event: alone is no event of the order

It is passed on in a first run and skipped where a run is joined. A part of such a block that was cut off still counts as a part of an event, as it may have become one. Ruled out: framing and ids (both runs are whole, ids go on).

--- a/src/pearhead/router/event_stream.py
+++ b/src/pearhead/router/event_stream.py
@@ -9,7 +9,9 @@
 from pearhead.router.stream_sequence import EventAction, EventFields, StreamSequence, StreamViolation
 
 EVENT_ID = re.compile(rb"^id(?:: ?([^\r\n]*))?\r?$", re.MULTILINE)
-EVENT_DATA = re.compile(rb"^[^:\r\n]", re.MULTILINE)
+EVENT_FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)
+# A block that has these alone is no event to the caller.
+EVENT_DATA = re.compile(rb"^(?!(?:event|retry)(?::|\r?$))[^:\r\n]", re.MULTILINE)
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -30,7 +32,7 @@
 
     def begin_run(self, version: int | None = None) -> None:
         """Another run's bytes follow: a partial event of the one before is dropped, as no event joins two runs."""
-        if EVENT_DATA.search(self.pending):
+        if EVENT_FIELD.search(self.pending):
             self.sequence.note_partial_event()
         self.pending = b""
         self.violation = None
