--- a/tests/test_discovery_directory.py
+++ b/tests/test_discovery_directory.py
@@ -9,7 +9,11 @@
 from pearhead.rpc.courier import Courier
 from pearhead.rpc.wire_pb2 import HelloResult, Record
 from pearhead.runtime.bench import Bench
-from pearhead.runtime.clock import SECOND
+from pearhead.runtime.clock import MILLI, SECOND
+from pearhead.testbed.simulator.world import Machine, SimNet, World, pause, run_virtual
+
+CORE_COUNT = 3
+ROUTER_COUNT = 63
 
 
 class DirectoryTest(unittest.TestCase):
@@ -49,3 +53,53 @@
         self.assertEqual(self.directory._choose_targets(), ["seed:1"])
         self.hear("core", "c:1", 0)
         self.assertEqual(self.directory._choose_targets(), ["c:1"])
+
+
+class DirectoryFleet:
+    """Cores and routers that only tell one another that they are there."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        cores = [f"core{number}" for number in range(CORE_COUNT)]
+        self.seeds = [f"{name}:1" for name in cores]
+        self.directories: dict[str, Directory] = {}
+        self.couriers: dict[str, Courier] = {}
+        for name in cores:
+            self.start(name, "control_plane")
+        for number in range(ROUTER_COUNT):
+            self.start(f"n{number}", "router")
+
+    def start(self, name: str, role: str) -> None:
+        machine: Machine = self.world.machine(name)
+        machine.boot()
+        address = f"{name}:1"
+        courier = Courier(name, address, SimNet(machine, address), machine)
+        record = Record(identity=name, address=address, role=role)
+        directory = Directory(record, self.seeds, courier, machine, random.Random(f"{self.world.seed} {name}"))
+        machine.crew.start(directory.run())
+        self.directories[name], self.couriers[name] = directory, courier
+
+    def fewest_known(self, gone: str) -> int:
+        """The fewest of the running routers that a running router knows, itself among them."""
+        routers = {name: d for name, d in self.directories.items() if name.startswith("n") and name != gone}
+        return min(len({r.identity for r in d.members("router")} - {gone}) + 1 for d in routers.values())
+
+    def sent_bytes(self) -> int:
+        return sum(sum(courier.sent_bytes.values()) for courier in self.couriers.values())
+
+
+class FleetDirectoryTest(unittest.TestCase):
+    def test_a_node_that_is_gone_takes_no_other_with_it(self) -> None:
+        for seed in (1, 2, 3):
+
+            async def play(world: World) -> None:
+                fleet = DirectoryFleet(world)
+                await pause(world, 12 * SECOND)
+                world.machines["n5"].crash(False)
+                for _ in range(100):
+                    await pause(world, 100 * MILLI)
+                    self.assertEqual(fleet.fewest_known("n5"), ROUTER_COUNT - 1)
+                known = [name for name, d in fleet.directories.items() if "n5" in {r.identity for r in d.members()}]
+                self.assertEqual([name for name in known if name != "n5"], [], "it is known to be gone itself")
+
+            run_virtual(seed, play)
