--- a/src/pearhead/testbed/soak/fleet.py
+++ b/src/pearhead/testbed/soak/fleet.py
@@ -119,6 +119,12 @@
 
     # ---- processes ---------------------------------------------------------------------------------
 
+    def start(self, name: str) -> None:
+        """Raises RuntimeError if the process lives: a second one would never be ended."""
+        if self.is_alive(name):
+            raise RuntimeError(f"{name} lives already")
+        super().start(name)
+
     async def kill(self, name: str) -> None:
         """SIGKILL; returns once the process is gone."""
         self.send_signal(name, signal.SIGKILL)
@@ -152,9 +158,9 @@
         for name in list(self.plan["frozen"]):
             self.send_signal(name, signal.SIGCONT)
 
-    async def wait_all_ready(self) -> None:
-        """Raises NotReadyError if a front node does not become ready in time."""
-        end_at = self.clock.now() + READY_MICROS
+    async def wait_all_ready(self, limit_micros: int = READY_MICROS) -> None:
+        """Raises NotReadyError if a front node does not become ready within the limit."""
+        end_at = self.clock.now() + limit_micros
         while unready := await self._unready():
             if self.clock.now() > end_at:
                 raise NotReadyError(", ".join(unready))
@@ -191,3 +197,4 @@
         for name in self.plan["ids"]:
             if self.is_alive(name):
                 os.kill(self.plan["ids"][name], signal.SIGKILL)
+        self.release_block()
--- a/tests/test_discovery_directory.py
+++ b/tests/test_discovery_directory.py
@@ -9,7 +9,11 @@
 from pearhead.rpc.courier import Courier
 from pearhead.rpc.wire_pb2 import HelloResult, Record
 from pearhead.runtime.bench import Bench
-from pearhead.runtime.clock import SECOND
+from pearhead.runtime.clock import MILLI, SECOND
+from pearhead.testbed.simulator.world import Machine, SimNet, World, pause, run_virtual
+
+CORE_COUNT = 3
+ROUTER_COUNT = 63
 
 
 class DirectoryTest(unittest.TestCase):
@@ -49,3 +53,54 @@
         self.assertEqual(self.directory._choose_targets(), ["seed:1"])
         self.hear("core", "c:1", 0)
         self.assertEqual(self.directory._choose_targets(), ["c:1"])
+
+
+class DirectoryFleet:
+    """Cores and routers that only tell one another that they are there."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        cores = [f"core{number}" for number in range(CORE_COUNT)]
+        self.seeds = [f"{name}:1" for name in cores]
+        self.directories: dict[str, Directory] = {}
+        for name in cores:
+            self.start(name, "control_plane")
+        for number in range(ROUTER_COUNT):
+            self.start(f"n{number}", "router")
+
+    def start(self, name: str, role: str) -> None:
+        machine: Machine = self.world.machine(name)
+        machine.boot()
+        address = f"{name}:1"
+        courier = Courier(name, address, SimNet(machine, address), machine)
+        record = Record(identity=name, address=address, role=role)
+        directory = Directory(record, self.seeds, courier, machine, random.Random(f"{self.world.seed} {name}"))
+        machine.crew.start(directory.run())
+        self.directories[name] = directory
+
+    def fewest_known(self, gone: set[str]) -> int:
+        """The fewest of the running routers that a running router knows, itself among them."""
+        routers = {name: d for name, d in self.directories.items() if name.startswith("n") and name not in gone}
+        return min(len({r.identity for r in d.members("router")} - gone) + 1 for d in routers.values())
+
+
+class FleetDirectoryTest(unittest.TestCase):
+    def test_nodes_that_are_gone_take_no_others_with_them(self) -> None:
+        """One, and as many as a zone has."""
+        for gone_count in (1, 24):
+            for seed in (1, 2):
+
+                async def play(world: World, gone_count: int = gone_count) -> None:
+                    fleet = DirectoryFleet(world)
+                    await pause(world, 12 * SECOND)
+                    gone = {f"n{number}" for number in range(gone_count)}
+                    for name in gone:
+                        world.machines[name].crash(False)
+                    for _ in range(100):
+                        await pause(world, 100 * MILLI)
+                        self.assertEqual(fleet.fewest_known(gone), ROUTER_COUNT - gone_count)
+                    running = [d for name, d in fleet.directories.items() if name not in gone]
+                    known = {r.identity for directory in running for r in directory.members()}
+                    self.assertEqual(known & gone, set(), "they are known to be gone themselves")
+
+                run_virtual(seed, play)
--- a/tests/test_site_fleet.py
+++ b/tests/test_site_fleet.py
@@ -92,9 +92,10 @@
 
         self.call_beside(90, 400, lambda: self.kill("core-1"))
         self.call_beside(90, 500, lambda: self.kill("front-1"))
-        launcher.command_worker("engine-2", {"cut": 0.1, "lost": 0.1, "late": 0.1, "extra": 0.1, "fails": 0.1})
+        shares = dict.fromkeys(("cut", "lost", "late", "extra", "fails", "split"), 0.1)
+        launcher.command_worker("engine-2", shares)
         self.call_beside(90, 600, lambda: self.kill("engine-1"))
-        launcher.command_worker("engine-2", dict.fromkeys(("cut", "lost", "late", "extra", "fails"), 0.0))
+        launcher.command_worker("engine-2", dict.fromkeys(shares, 0.0))
         for name in ("core-1", "front-1", "engine-1"):
             launcher.start(name)
         launcher.wait_ready()
@@ -185,6 +186,7 @@
     def test_a_new_core_machine_has_its_own_address_an_empty_disk_and_a_list_that_lags(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             launcher = StillLauncher(folder)
+            self.addCleanup(launcher.release_block)
             launcher.make_site(ACADEMY, SiteSize(3, 1, 1), 1)
             self.assertTrue(launcher.settings_of("core-1")["FirstStart"])
             launcher.up()
@@ -210,6 +212,7 @@
     def test_a_site_without_its_programs_says_so(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             launcher = SiteLauncher(folder)
+            self.addCleanup(launcher.release_block)
             launcher.make_site(ACADEMY, SiteSize(1, 1, 1), random.Random(1).randrange(9))
             held: dict[str, Any] = SiteLauncher(folder).plan
             self.assertEqual(held["interface"], "platform")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,15 +6,21 @@
 import random
 import tempfile
 import unittest
+from collections import Counter
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
 from pearhead.runtime.clock import MILLI, SECOND
+from pearhead.testbed.emulator.client import CallReport
 from pearhead.testbed.emulator.launcher import ROOT
+from pearhead.testbed.emulator.ledger import LedgerFile, SiteLedger, Trouble
+from pearhead.testbed.emulator.rules import SiteBounds, Touch
 from pearhead.testbed.soak.faultproxy import SOUND_LINK, TOO_MANY_REQUESTS, FaultProxy, LinkFault
-from pearhead.testbed.soak.logscan import fault_lines, scan_logs
-from pearhead.testbed.soak.run import play_seed
+from pearhead.testbed.soak.faults import FaultRunner
+from pearhead.testbed.soak.fleet import NotReadyError, SoakFleet
+from pearhead.testbed.soak.logscan import LogScan, fault_lines
+from pearhead.testbed.soak.run import look_at_the_end, play_seed
 from pearhead.testbed.soak.schedule import (
     SHORT_PROFILE,
     FaultKind,
@@ -190,10 +196,97 @@
         fault = "2026-12-02T03:36:44.250765Z ERROR edge: A request ended by a fault."
         self.assertEqual(fault_lines(sound), [])
         self.assertEqual(fault_lines(sound + fault), [fault])
+        invariant = "2026-12-02T03:36:44.250765Z ERROR daemon: An invariant does not hold. invariant=order detail='x'"
+        self.assertEqual(fault_lines(invariant), [invariant])
         self.assertEqual(len(fault_lines("Traceback (most recent call last):\n  File x\n")), 1)
         with tempfile.TemporaryDirectory() as folder:
             Path(folder, "front-1.log").write_text(fault)
-            self.assertEqual(list(scan_logs(Path(folder))), [f"front-1: {fault}"])
+            self.assertEqual(
+                list(LogScan(Path(folder), Touch(SiteLedger(), SiteBounds()), 0).find()), [f"front-1: {fault}"]
+            )
+
+    def test_an_old_list_of_workers_counts_only_where_list_and_node_are_in_touch(self) -> None:
+        line = (
+            "1970-01-01T00:01:40.000000Z ERROR daemon: An invariant does not hold. invariant=roster_is_fresh detail=9"
+        )
+        for trouble, count in (
+            ([], 1),
+            ([("cloud", "cut", 95)], 1),
+            ([("cloud", "cut", 98)], 0),
+            ([("cloud", "cut", 80), ("cloud", "healed", 98)], 0),
+            ([("cloud", "cut", 80), ("cloud", "healed", 96)], 1),
+            ([("front-1", "woken", 99)], 0),
+            ([("front-2", "woken", 99)], 1),
+        ):
+            ledger = SiteLedger([Trouble(at * SECOND, name, "", what) for name, what, at in trouble])
+            with self.subTest(trouble), tempfile.TemporaryDirectory() as folder:
+                Path(folder, "front-1.log").write_text(line)
+                found = list(LogScan(Path(folder), Touch(ledger, SiteBounds()), 0).find())
+                self.assertEqual(len(found), count)
+
+
+class FakeFleet(SoakFleet):
+    """Processes that live or not, and front nodes that are ready or not, as a test says."""
+
+    def __init__(self, folder: str, dead: tuple[str, ...] = (), unready: tuple[str, ...] = ()) -> None:
+        super().__init__(folder)
+        self.plan = {"processes": {"core-1": {}, "front-1": {}}}
+        self.dead, self.unready = dead, unready
+
+    def is_alive(self, name: str) -> bool:
+        return name not in self.dead
+
+    async def _unready(self) -> list[str]:
+        return list(self.unready)
+
+
+class OwnChecksTest(unittest.TestCase):
+    """Each check of the soak itself finds what is planted for it, and nothing else."""
+
+    def setUp(self) -> None:
+        self.folder = self.enterContext(tempfile.TemporaryDirectory())
+
+    def found_at_the_end(self, fleet: FakeFleet, done_count: int) -> list[str]:
+        return [b.rule for b in look_at_the_end(fleet, CallReport(Counter(done=done_count)))]
+
+    def test_what_is_down_or_not_served_at_the_end(self) -> None:
+        self.assertEqual(self.found_at_the_end(FakeFleet(self.folder), 1), [])
+        self.assertEqual(self.found_at_the_end(FakeFleet(self.folder, dead=("front-1",)), 1), ["ENDED"])
+        self.assertEqual(self.found_at_the_end(FakeFleet(self.folder), 0), ["SERVED"])
+
+    def test_a_process_that_ended_by_itself_before_it_was_struck(self) -> None:
+        sink = LedgerFile(Path(self.folder, "operator.jsonl"))
+        runner = FaultRunner(FakeFleet(self.folder, dead=("core-1",)), 1, sink, lambda config: None)
+        runner.look_for_ends(("front-1", "core-1"))
+        self.assertEqual(runner.ended_by_themselves, ["core-1"])
+        sink.close()
+
+    def test_a_fault_waits_for_an_earlier_one_of_the_same_process(self) -> None:
+        """On a busy machine a fault may end late; the next must not find its process down."""
+
+        async def story() -> list[str]:
+            sink = LedgerFile(Path(self.folder, "operator.jsonl"))
+            runner = FaultRunner(FakeFleet(self.folder), 1, sink, lambda config: None)
+            begun: list[str] = []
+
+            async def carry_out(fault: ScheduledFault) -> None:
+                begun.append(f"{fault.count} begins")
+                await asyncio.sleep(0.05)
+                begun.append(f"{fault.count} ends")
+
+            runner._carry_out = carry_out  # type: ignore[method-assign]
+            first = ScheduledFault(0, 1, FaultKind.KILL_CORE, ("core-1",), 1)
+            both = ScheduledFault(10 * MILLI, 1, FaultKind.KILL_ALL_CORES, ("core-2", "core-1"), 2)
+            await runner.run([first, both])
+            sink.close()
+            return begun
+
+        self.assertEqual(asyncio.run(story()), ["1 begins", "1 ends", "2 begins", "2 ends"])
+
+    def test_a_front_node_that_does_not_become_ready(self) -> None:
+        asyncio.run(FakeFleet(self.folder).wait_all_ready(0))
+        with self.assertRaisesRegex(NotReadyError, "front-1"):
+            asyncio.run(FakeFleet(self.folder, unready=("front-1",)).wait_all_ready(0))
 
 
 @unittest.skipUnless((ROOT / "platform" / "run_router.py").exists(), "the platform's programs are not here")
