--- a/src/pearhead/router/drain.py
+++ b/src/pearhead/router/drain.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 import logging
 from collections.abc import Callable
@@ -16,8 +17,9 @@
 
 LOGGER = logging.getLogger("pearhead")
 POLL_MICROS = 20 * MILLI
-# Long enough for two missed readiness checks; a caller that sends until 3 s after SIGTERM may count on an answer.
-MOST_HANDOVER_MICROS = 2_900 * MILLI
+# Long enough for two missed readiness checks. What a caller sends until 3 s after SIGTERM is to be answered, and the
+# process may hear of SIGTERM late.
+MOST_HANDOVER_MICROS = 2_700 * MILLI
 HANDOVER_SHARE = 3 / 8
 # From the last end to the kill: what is left to write, and the teardown of the process on a slow machine.
 MOST_MARGIN_MICROS = SECOND
@@ -152,6 +154,7 @@
         self.state = state
         self.edge = edge
         self.requests = requests
+        self.ending: asyncio.Future[None] | None = None
 
     async def run(self) -> None:
         """Returns when the process may end: when nothing is open, or at the last end."""
@@ -171,9 +174,15 @@
         )
 
     async def end(self) -> None:
-        """The last end: answers or cuts what is open and waits a short time for the answers to be written out."""
-        if self.state.has_ended:
-            return
+        """The last end: answers or cuts what is open and waits a short time for the answers to be written out.
+
+        Called again while it is under way, it waits for the same end.
+        """
+        if self.ending is None:
+            self.ending = asyncio.ensure_future(self._end_once())
+        await asyncio.shield(self.ending)
+
+    async def _end_once(self) -> None:
         self.state.end()
         self.edge.stop_accepting()
         self.edge.refuse_incoming()
@@ -185,7 +194,9 @@
         self.state.check_end(max(self.requests.open_count(), self.edge.unanswered_count()))
 
     def _is_idle(self) -> bool:
-        return not self.requests.open_count() and not self.edge.open_count()
+        # The edge is asked in any case: it lets go of what was delivered.
+        open_connections = self.edge.open_count()
+        return not open_connections and not self.requests.open_count()
 
     async def _wait_until(self, since_begin_micros: int, ends_idle: bool) -> None:
         """Until that time, or with `ends_idle` until nothing is open; lets the edge close what it delivered."""
--- a/src/pearhead/router/relay.py
+++ b/src/pearhead/router/relay.py
@@ -218,15 +218,21 @@
             self.chosen[note.zone] = (relay, now_micros)
         if note.hop == 0:
             self.members[identity] = _Told(note.use, now_micros)
-            self.zone_kept.extend(note.kept)
+            self._keep(self.zone_kept, note)
         elif note.hop == 1:
             self.zones[note.zone] = _Told(note.use, now_micros)
-            self.far_kept.extend(note.kept)
+            self._keep(self.far_kept, note)
         elif relay == chosen:
             self._take_fleet(note.use)
         for kept in note.kept:
             self.take_kept(identity, address, kept)
 
+    @staticmethod
+    def _keep(waiting: list[KeptNote], note: RelayNote) -> None:
+        """What is to be passed on next; bounded, as a node that no longer relays passes nothing on."""
+        waiting.extend(note.kept)
+        del waiting[:-KEPT_LIMIT]
+
     def _take_fleet(self, fleet_sum: UseNote) -> None:
         """All nodes' use together, less what this node told itself: its own is known exactly."""
         own = {use.worker: use for use in self.own_told.use}
