--- a/src/pearhead/testbed/soak/fleet.py
+++ b/src/pearhead/testbed/soak/fleet.py
@@ -41,6 +41,7 @@
 WORKER_DRAIN_MICROS = 6 * SECOND
 LONG_OUTPUT_TOKENS = 500
 LONG_SHARE = 0.4
+LEAST_TRIES = 2
 
 
 class NotReadyError(Exception):
@@ -77,7 +78,11 @@
             RequestKind(**{**vars(short), "share": 1 - LONG_SHARE}),
             RequestKind(**{**vars(long), "share": LONG_SHARE, "output_tokens": LONG_OUTPUT_TOKENS}),
         ]
+        for route in site.config["RouteTable"]:
+            # Without a second try nothing would show whether what may have run is sent once more.
+            route["Tries"] = max(LEAST_TRIES, route["Tries"])
         self.plan["site"] = site.fields()
+        self.plan["config"] = site.config
         self._keep_plan()
 
     def settings_of(self, name: str) -> dict[str, Any]:
