Each emulated site claims its block of addresses, so that no two share workers

Cause of "UNASKED ... no client sent it" in test_stacked_losses_of_the_core: two sites on one machine with the same addresses. `FreeBlock` took a block 127.X.0.0/16 for free when nothing listened at 127.X.1.1, the first core's address, only. That core is gone for good after the test's planned replacement, and for a while after each kill; before the first start nothing listens at all. A launcher that began to look at that block (by its process id, mod 249) drew it again.

The ledger of the failure that was reported was not kept: that it had this cause is concluded from the like symptom, not read from it.

Ruled out, by reading: a try that isn't recorded (each is written when its exchange ends, and what isn't caught fails the call itself), a line lost by buffering (files are unbuffered), a caller killed (callers are threads of the test).

`AddressBlock` now holds a listening socket in the block from the draw until the site is down, and a block in which any socket of the machine listens, or is bound for datagrams, is not drawn. The claim stands where the former draw probes, so copies of older code pass it over as well. `up` after a `down` claims the block again, or fails. The checks of the site's ledger are as before.

--- a/src/pearhead/testbed/emulator/launcher.py
+++ b/src/pearhead/testbed/emulator/launcher.py
@@ -19,6 +19,7 @@
 
 from pearhead.runtime.clock import SECOND, BootClock
 from pearhead.testbed.deployment import Deployment
+from pearhead.testbed.emulator.addressblock import AddressBlock, BlockTakenError, claim_free_block
 from pearhead.testbed.emulator.checkers import find_breaches
 from pearhead.testbed.emulator.client import CallReport, SiteCaller
 from pearhead.testbed.emulator.ledger import LedgerFile, Life, SiteLedger, Trouble, read_ledger
@@ -32,7 +33,6 @@
     READINESS_PORT,
     STORE_PORT,
     WORKER_PORT,
-    FreeBlock,
     Machine,
     PlanMaker,
     SitePlan,
@@ -52,6 +52,7 @@
     "store": STORE_PORT,
     "cloud": CLOUD_PORT,
 }
+CLAIMED_PORTS = (*PORTS.values(), READINESS_PORT, INNER_PORTS[0])
 PLATFORM_PROGRAMS = ("control_plane", "router")
 START_ORDER = ("cloud", "store", "engine", "control_plane", "router")
 SIGNAL_WORDS = {
@@ -71,6 +72,7 @@
     def __init__(self, folder: str) -> None:
         super().__init__(folder)
         self.clock = BootClock()
+        self.block: AddressBlock | None = None
 
     @property
     def site(self) -> SitePlan:
@@ -82,8 +84,9 @@
 
     def make_site(self, deployment: Deployment, size: SiteSize, seed: int) -> None:
         self.folder_path.mkdir(parents=True, exist_ok=True)
-        block = FreeBlock().draw([*PORTS.values(), READINESS_PORT, INNER_PORTS[0]], os.getpid())
-        site = PlanMaker(deployment, size, seed, block).make()
+        self.release_block()
+        self.block = claim_free_block(CLAIMED_PORTS, os.getpid())
+        site = PlanMaker(deployment, size, seed, self.block.number).make()
         machines = sorted(site.machines, key=lambda m: START_ORDER.index(m.program))
         self.plan = {
             "deployment": deployment.name,
@@ -103,6 +106,24 @@
         }
         self._keep_plan()
 
+    # ---- addresses ---------------------------------------------------------------------------------
+
+    def claim_block(self) -> None:
+        """Claims the site's addresses anew, before its processes start again after all had ended."""
+        if self.block is not None or any(self.is_alive(name) for name in self.plan["processes"]):
+            return
+        number = int(self.site.machines[0].ip.split(".")[1])
+        try:
+            self.block = AddressBlock(number, CLAIMED_PORTS)
+        except BlockTakenError as fault:
+            raise RuntimeError(f"the site's addresses are in use: {fault}") from fault
+
+    def release_block(self) -> None:
+        """From now on only the site's own processes keep its addresses."""
+        if self.block is not None:
+            self.block.release()
+            self.block = None
+
     # ---- processes ---------------------------------------------------------------------------------
 
     def start(self, name: str) -> None:
@@ -146,6 +167,7 @@
         return started.pid
 
     def up(self) -> None:
+        self.claim_block()
         super().up()
         self.plan["is_begun"] = True
         self._keep_plan()
@@ -172,6 +194,7 @@
             if process["program"] in ("engine", "store", "cloud"):
                 self.send_signal(name, signal.SIGKILL)
         super().down()
+        self.release_block()
 
     def _note(self, name: str, what: str) -> None:
         process = {**self.plan["processes"], **self.plan["retired"]}[name]
--- a/src/pearhead/testbed/emulator/plan.py
+++ b/src/pearhead/testbed/emulator/plan.py
@@ -7,7 +7,6 @@
 
 import copy
 import random
-import socket
 import string
 from dataclasses import asdict, dataclass, field
 from typing import Any
@@ -41,7 +40,6 @@
     "ThawMs": 300,
     "VersionMs": 8000,
 }
-BLOCKS = 249
 SEED_COUNT = 3
 CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants"]
 
@@ -111,29 +109,6 @@
     return SitePlan(**held)
 
 
-class FreeBlock:
-    """Draws a second number of 127.X.0.0 under which none of the wanted addresses is taken. Raises OSError.
-
-    `first`: where it begins to look; launchers that begin at once begin at numbers of their own.
-    """
-
-    def draw(self, ports: list[int], first: int) -> int:
-        for step in range(BLOCKS):
-            block = 1 + (first + step) % BLOCKS
-            if all(self._is_free(f"127.{block}.1.1", port) for port in ports):
-                return block
-        raise OSError("no free addresses on loopback")
-
-    def _is_free(self, ip: str, port: int) -> bool:
-        with socket.socket() as probe_socket:
-            probe_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe_socket.bind((ip, port))
-            except OSError:
-                return False
-        return True
-
-
 class PlanMaker:
     """Draws a plan. The same seed and block give the same plan."""
 
--- a/src/pearhead/testbed/soak/fleet.py
+++ b/src/pearhead/testbed/soak/fleet.py
@@ -191,3 +191,4 @@
         for name in self.plan["ids"]:
             if self.is_alive(name):
                 os.kill(self.plan["ids"][name], signal.SIGKILL)
+        self.release_block()
--- a/tests/test_site_fleet.py
+++ b/tests/test_site_fleet.py
@@ -185,6 +185,7 @@
     def test_a_new_core_machine_has_its_own_address_an_empty_disk_and_a_list_that_lags(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             launcher = StillLauncher(folder)
+            self.addCleanup(launcher.release_block)
             launcher.make_site(ACADEMY, SiteSize(3, 1, 1), 1)
             self.assertTrue(launcher.settings_of("core-1")["FirstStart"])
             launcher.up()
@@ -210,6 +211,7 @@
     def test_a_site_without_its_programs_says_so(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             launcher = SiteLauncher(folder)
+            self.addCleanup(launcher.release_block)
             launcher.make_site(ACADEMY, SiteSize(1, 1, 1), random.Random(1).randrange(9))
             held: dict[str, Any] = SiteLauncher(folder).plan
             self.assertEqual(held["interface"], "platform")
--- a/tests/test_site_sockets.py
+++ b/tests/test_site_sockets.py
@@ -429,6 +429,7 @@
     def test_it_picks_from_a_list_that_lags(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             launcher = SiteLauncher(folder)
+            self.addCleanup(launcher.release_block)
             launcher.make_site(ACADEMY, SiteSize(3, 1, 1), 1)
             clock = launcher.clock = SetClock()
             first = launcher.listed_controls()
