Checker of LOST: work in the last sixth of GraceS is excused beside a configuration too

Planted breaches are still found. The excuse ends 1 s after GraceS now, as the time of the stopped process does.

--- a/src/pearhead/testbed/emulator/plannedcheckers.py
+++ b/src/pearhead/testbed/emulator/plannedcheckers.py
@@ -63,6 +63,8 @@
         unplanned = spans_of(t for t in ledger.troubles if self._is_unplanned(t))
         stops = [s for s in spans_of(ledger.troubles) if s.trouble.what == "stopped" and s.trouble.program == "engine"]
         workers = workers_of(ledger)
+        finished_at = {f.request_id: f.at for f in ledger.finished}
+        stopped = [t for t in ledger.troubles if t.what == "stopped" and t.program == "router"]
         for asked in ledger.tries:
             is_late = asked.ended_at > asked.sent_at + bounds.loss_slack_micros
             if asked.status or asked.unread or asked.given_up or asked.request_id in broken_off:
@@ -73,26 +75,34 @@
                 continue
             cut.append(asked)
             own_stops = [s for s in stops if s.trouble.name in workers.get(asked.request_id, set())]
-            if not self._is_troubled([*unplanned, *own_stops], asked, bounds):
+            is_troubled = self._is_troubled([*unplanned, *own_stops], asked, bounds)
+            worked_until = min(asked.ended_at, finished_at.get(asked.request_id, asked.ended_at))
+            was_at_work = asked.request_id in ran and any(
+                self._is_excused_by(stop, asked, worked_until, bounds) for stop in stopped
+            )
+            if not is_troubled and not was_at_work:
                 cut_in_calm.append(asked)
-        yield from self._beside_stops(ledger, cut_in_calm, set(ran), bounds)
+        yield from self._beside_stops(stopped, cut_in_calm, bounds)
         yield from self._beside_reloads(ledger, cut_in_calm, bounds)
         yield from self._beside_configs(ledger, cut_in_calm, bounds)
         yield from self._on_kept_connections(ledger, cut, workers, bounds)
 
-    def _beside_stops(self, ledger: SiteLedger, cut: list[Try], ran: set[str], bounds: SiteBounds) -> Iterator[str]:
-        finished_at = {f.request_id: f.at for f in ledger.finished}
-        for stopped in (t for t in ledger.troubles if t.what == "stopped" and t.program == "router"):
-            for asked in (a for a in cut if a.node == stopped.name):
-                is_around = asked.ended_at >= stopped.at and asked.sent_at <= (
-                    stopped.at + bounds.grace_micros + SECOND
-                )
-                last_sixth_at = stopped.at + round(bounds.grace_micros * LAST_SIXTH)
-                worked_until = min(asked.ended_at, finished_at.get(asked.request_id, asked.ended_at))
-                was_at_work = asked.request_id in ran and worked_until >= last_sixth_at
-                is_early = asked.sent_at <= stopped.at + EARLY_MICROS
-                if is_around and not (was_at_work and is_early):
-                    yield f"{asked.request_id} was cut by {stopped.name}, which was stopped as planned"
+    def _is_excused_by(self, stop: Trouble, asked: Try, worked_until: int, bounds: SiteBounds) -> bool:
+        """Whether a worker still worked in the last sixth of `GraceS` on a request that was sent soon after SIGTERM.
+
+        It excuses the cut around all planned work, and only while the stopped process may have lived.
+        """
+        if stop.name != asked.node or not stop.at <= asked.ended_at <= stop.at + bounds.grace_micros + SECOND:
+            return False
+        last_sixth_at = stop.at + round(bounds.grace_micros * LAST_SIXTH)
+        return worked_until >= last_sixth_at and asked.sent_at <= stop.at + EARLY_MICROS
+
+    def _beside_stops(self, stopped: list[Trouble], cut: list[Try], bounds: SiteBounds) -> Iterator[str]:
+        for stop in stopped:
+            for asked in (a for a in cut if a.node == stop.name):
+                end_at = stop.at + bounds.grace_micros + SECOND
+                if asked.ended_at >= stop.at and asked.sent_at <= end_at:
+                    yield f"{asked.request_id} was cut by {stop.name}, which was stopped as planned"
 
     def _beside_reloads(self, ledger: SiteLedger, cut: list[Try], bounds: SiteBounds) -> Iterator[str]:
         for told in (t for t in ledger.troubles if t.what == "reloaded"):
--- a/src/pearhead/testbed/soak/faults.py
+++ b/src/pearhead/testbed/soak/faults.py
@@ -22,7 +22,7 @@
 from pearhead.testbed.soak.schedule import FaultKind, ScheduledFault
 
 FAULTY_ANSWERS: tuple[dict[str, Any], ...] = (
-    {"cut": 0.1, "lost": 0.1, "fails": 0.1},
+    {"cut": 0.15, "lost": 0.25, "fails": 0.1},
     {"garble": 0.1, "extra": 0.2, "late": 0.2},
     {"slowness": 10.0, "false_health": True},
 )
--- a/tests/test_site_checkers.py
+++ b/tests/test_site_checkers.py
@@ -406,6 +406,9 @@
         self.assert_sound(*spread_runs(count=9, workers=2))
         self.assert_sound(*spread_runs(count=4, workers=3), Trouble(10 * SECOND, "w2", "engine", "killed"))
         self.assert_sound(*cut_beside(cut_before=1))
+        changed = {**CONFIG, "Revision": 5}
+        unclear = ConfigSent(15 * SECOND, 16 * SECOND, 5, 3, 0, changed)
+        self.assert_sound(unclear, *cut_at_work(ended_at=17 * SECOND))
 
     def test_turns_of_a_holder_out_of_touch_count_where_workers_check_no_fences(self) -> None:
         ledger = sound_ledger()
