Soak: a connection that only the proxy took counts as refused

Both nodes had closed their listening sockets 2.9 s after SIGTERM; the proxy had taken the connections and found nobody. Without a proxy they are refused at once and count as unread. The proxy remembers the callers that it turned away so, and the caller counts such a request as unread.

--- a/src/pearhead/testbed/soak/faultproxy.py
+++ b/src/pearhead/testbed/soak/faultproxy.py
@@ -123,6 +123,8 @@
         self.connections: set[ProxiedConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
+        # Addresses of clients whose connections the proxy took, although nobody behind it did.
+        self.refused: set[tuple[str, int]] = set()
         self.passes = asyncio.Event()
         self.passes.set()
 
@@ -171,7 +173,10 @@
             self.tasks.discard(task)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        client_address = writer.get_extra_info("peername")
+        self.refused.discard(client_address)
         if self.fault.is_refusing:
+            self.refused.add(client_address)
             reset_connection(writer)
             return
         if self.fault.canned_answer:
@@ -181,6 +186,7 @@
         try:
             server = await asyncio.open_connection(*split_address(self.target_address))
         except OSError:
+            self.refused.add(client_address)
             reset_connection(writer)
             return
         connection = ProxiedConnection(self, (reader, writer), server)
--- a/src/pearhead/testbed/soak/run.py
+++ b/src/pearhead/testbed/soak/run.py
@@ -102,6 +102,7 @@
                 sinks[0],
                 self.seed,
                 self.profile.longest_pause_seconds,
+                fleet.proxies.values(),
             )
             traffic_task = asyncio.ensure_future(traffic.run(self.profile.clients))
             runner = FaultRunner(fleet, self.seed, sinks[1], traffic.source.use_config)
--- a/src/pearhead/testbed/soak/traffic.py
+++ b/src/pearhead/testbed/soak/traffic.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 from dataclasses import replace
 from typing import Any
 
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
-from pearhead.testbed.emulator.client import CallReport, RequestDraw, SiteClient
+from pearhead.testbed.emulator.client import CallReport, Outcome, RequestDraw, SiteClient, SiteRequest
 from pearhead.testbed.emulator.ledger import RecordSink
 from pearhead.testbed.emulator.plan import SitePlan
+from pearhead.testbed.emulator.wire import RawConnection
+from pearhead.testbed.soak.faultproxy import FaultProxy
 from pearhead.testbed.soak.fleet import ProxiedEntry
 
 LEAST_PAUSE_MICROS = 100 * MILLI
@@ -40,12 +43,36 @@
         return self.chance.choice(self.draws[:-1]) if is_old else self.draws[-1]
 
 
+class SoakClient(SiteClient):
+    """A caller behind proxies. A connection that only a proxy took counts as refused: no node read the request."""
+
+    proxies: dict[str, FaultProxy]
+
+    async def _exchange(
+        self, request: SiteRequest, request_id: str, connection: RawConnection, resumed_from: int, end_at: int
+    ) -> Outcome:
+        own_address = connection.writer.get_extra_info("sockname")
+        outcome = await super()._exchange(request, request_id, connection, resumed_from, end_at)
+        proxy = self.proxies.get(connection.address)
+        if not outcome.status and proxy is not None and own_address in proxy.refused:
+            outcome.is_unread = True
+        return outcome
+
+
 class SoakTraffic:
     """Many clients that go on until they are told to stop."""
 
     def __init__(
-        self, plan: SitePlan, config: dict[str, Any], clock: Clock, sink: RecordSink, seed: int, pause_seconds: float
+        self,
+        plan: SitePlan,
+        config: dict[str, Any],
+        clock: Clock,
+        sink: RecordSink,
+        seed: int,
+        pause_seconds: float,
+        proxies: Iterable[FaultProxy],
     ) -> None:
+        self.proxies = {proxy.address: proxy for proxy in proxies}
         self.clock, self.sink, self.seed = clock, sink, seed
         self.longest_pause_micros = round(pause_seconds * SECOND)
         self.source = RequestSource(plan, config, random.Random(f"requests {seed}"))
@@ -69,7 +96,8 @@
 
     async def _call_on(self, number: int) -> None:
         chance = random.Random(f"client {self.seed} {number} {self.clock.now()}")
-        client = SiteClient(f"client-{number}", self.entry, self.clock, chance, self.sink)
+        client = SoakClient(f"client-{number}", self.entry, self.clock, chance, self.sink)
+        client.proxies = self.proxies
         while True:
             await self._pause(chance)
             if self.stopping.is_set():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,14 +11,17 @@
 from pathlib import Path
 from typing import Any
 
-from pearhead.runtime.clock import MILLI, SECOND
-from pearhead.testbed.emulator.client import CallReport
+from pearhead.runtime.clock import MILLI, SECOND, BootClock
+from pearhead.testbed.deployment import ACADEMY
+from pearhead.testbed.emulator.client import CallReport, RequestDraw
 from pearhead.testbed.emulator.launcher import ROOT
 from pearhead.testbed.emulator.ledger import LedgerFile, SiteLedger, Trouble
+from pearhead.testbed.emulator.plan import PlanMaker, SiteSize
 from pearhead.testbed.emulator.rules import SiteBounds, Touch
+from pearhead.testbed.emulator.wire import RawConnection
 from pearhead.testbed.soak.faultproxy import SOUND_LINK, TOO_MANY_REQUESTS, FaultProxy, LinkFault
 from pearhead.testbed.soak.faults import FaultRunner
-from pearhead.testbed.soak.fleet import NotReadyError, SoakFleet
+from pearhead.testbed.soak.fleet import NotReadyError, ProxiedEntry, SoakFleet
 from pearhead.testbed.soak.logscan import LogScan, fault_lines
 from pearhead.testbed.soak.run import look_at_the_end, play_seed
 from pearhead.testbed.soak.schedule import (
@@ -28,6 +31,7 @@
     ScheduleMaker,
     SoakProfile,
 )
+from pearhead.testbed.soak.traffic import SoakClient
 
 SHORT_SEED = 1
 
@@ -155,6 +159,29 @@
 
         self.play(story())
 
+    def test_a_connection_that_only_the_proxy_took_counts_as_unread(self) -> None:
+        """Without a proxy the caller's connection would have been refused."""
+
+        async def story() -> None:
+            echo, proxy, port = await self.open()
+            proxy.address = f"127.0.0.1:{port}"
+            plan = PlanMaker(ACADEMY, SiteSize(1, 1, 1), 1, 9).make()
+            ledger = SiteLedger()
+            client = SoakClient("c", ProxiedEntry(plan.of("router")), BootClock(), random.Random(1), ledger)
+            client.proxies = {proxy.address: proxy}
+            request = RequestDraw(plan, plan.config, random.Random(2)).draw()
+            assert echo.server is not None
+            for target, is_unread in ((proxy.target_address, False), ("127.0.0.1:1", True)):
+                proxy.target_address = target
+                connection = RawConnection(proxy.address)
+                await connection.open()
+                outcome = await client._exchange(request, "r", connection, 0, BootClock().now() + SECOND // 5)
+                self.assertEqual(outcome.is_unread, is_unread)
+                connection.close()
+            await self.close(echo, proxy)
+
+        self.play(story())
+
     def test_faults_of_answers(self) -> None:
         async def story() -> None:
             echo, proxy, port = await self.open()
