The test of blocks listens as servers do, where a former site's connections still rest

Cause: a whole run failed once with 'Address already in use' (651 passed, 1 failed): the test's sockets were bound without SO_REUSEADDR, and connections of a site that an earlier test had ended rest at its addresses for a minute. Shown by a script: bind fails after a connection was closed there, and does not with the option. Ruled out: another launcher, as the block is claimed. The check is unchanged.

--- a/tests/test_site_addresses.py
+++ b/tests/test_site_addresses.py
@@ -36,6 +36,8 @@
     def open_socket(self, kind: socket.SocketKind, ip: str, port: int) -> None:
         opened = socket.socket(socket.AF_INET, kind)
         self.addCleanup(opened.close)
+        # As servers do: a former site's connections may rest there for a minute.
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         opened.bind((ip, port))
         if kind == socket.SOCK_STREAM:
             opened.listen()
