The edge's connections are counted by the set that holds them

Two counts of the same had come together: connection_count and streams. The figure client_connections is the size of the latter. Ruled out: another moment of counting (both changed in the same two calls). tests.test_metrics, test_client_limits and test_drain pass.

--- a/src/pearhead/router/edge.py
+++ b/src/pearhead/router/edge.py
@@ -247,7 +247,6 @@
         stream = ClientStream(connection, self.edge, max_buffer_size=self.max_buffer_size)
         self.edge.streams.add(stream)
         self.handle_stream(stream, address)
-        self.edge.connection_count += 1
 
     def stop_accepting(self) -> None:
         """Takes the connections that are made already, closes the listening sockets and all idle connections."""
@@ -277,7 +276,6 @@
 
     def on_close(self, server_conn: object) -> None:
         assert isinstance(server_conn, HTTP1ServerConnection) and isinstance(server_conn.stream, ClientStream)
-        self.edge.connection_count -= 1
         self.edge.forget(server_conn.stream)
         self.edge.streams.discard(server_conn.stream)
         super().on_close(server_conn)
@@ -300,7 +298,6 @@
         self.reader = reader
         self.handler = handler
         self.limits = limits
-        self.connection_count = 0
         self.drain = drain or DrainState(clock, DrainSchedule.of_grace(SECOND))
         self.lingering = LingeringSockets()
         self.streams: set[ClientStream] = set()
--- a/src/pearhead/router/metrics.py
+++ b/src/pearhead/router/metrics.py
@@ -77,7 +77,7 @@
         yield counter("requests_taken", "Requests read whole.", gate.taken_count)
         yield counter("requests_taken_draining", "Requests read whole since the drain began.", gateway.taken_draining())
         yield labelled_counter("requests_ended", "Requests by outcome.", "outcome", gate.outcomes)
-        yield gauge("client_connections", "Callers' connections open.", self.edge.connection_count)
+        yield gauge("client_connections", "Callers' connections open.", len(self.edge.streams))
         yield gauge("worker_connections", "Connections to workers, in use and kept.", worker_connections)
         yield counter("worker_connections_opened", "Connections to workers opened.", gateway.pool.opened)
         yield counter("worker_connections_reused", "Requests sent on a kept connection.", gateway.pool.reused)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -141,7 +141,7 @@
         gateway.gate.taken_count = 7
         gateway.gate.passages = {mock.Mock(), mock.Mock()}
         gateway.gate.outcomes.update(done=4, cut=1)
-        self.edge.connection_count = 9
+        self.edge.streams = {mock.Mock() for _ in range(9)}
         gateway.courier.cast(["127.0.0.1:9", "127.0.0.1:8"], "use_note", UseNote())
         gateway.loop_lag.note(30 * MILLI)
         found = read(self.registry)
