--- a/src/pearhead/control_plane/main.py
+++ b/src/pearhead/control_plane/main.py
@@ -67,11 +67,7 @@
         core.crew.start(teller.run())
 
     async def drain() -> None:
-        begun_micros = clock.now()
-        server.begin_drain()
-        await core.drain()
-        # What an operator asked before is answered: a command may be under way at other cores.
-        await server.finish_drain(clock, startup.drainMicros - (clock.now() - begun_micros))
+        await server.drain_around(clock, startup.drainMicros, core.drain)
 
     status = await serve_until_stopped(drain, failed)
     core.stop()
--- a/src/pearhead/runtime/draining_server.py
+++ b/src/pearhead/runtime/draining_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -91,6 +91,16 @@
         while self.open_requests and clock.now() < end_micros:
             await rest(clock, POLL_MICROS)
 
+    async def drain_around(self, clock: Clock, limit_micros: int, drain_process: Callable[[], Awaitable[None]]) -> None:
+        """Drains the process and the server; what was read before is answered, as work may be under way elsewhere.
+
+        `limit_micros`: for both together.
+        """
+        end_micros = clock.now() + limit_micros
+        self.begin_drain()
+        await drain_process()
+        await self.finish_drain(clock, end_micros - clock.now())
+
 
 def _is_idle(stream: IOStream) -> bool:
     """Whether nothing of the next request has arrived."""
