One method sends by size, and one asks a peer for its list

Relay, RosterKeeper and KeptGatherer each chose between datagram and frames, by the same 1,100 bytes: Courier.broadcast does so now. RosterKeeper asked peers in two places (_ask_peer), and the relay bounded what waits in two (_keep). A maximum of two times, of which one is never the later, is gone. Ruled out: the holder's own choice, which goes by keys and not bytes.

--- a/src/pearhead/router/kept_gatherer.py
+++ b/src/pearhead/router/kept_gatherer.py
@@ -16,11 +16,10 @@
 from pearhead.router.rendezvous import RankBook
 from pearhead.router.roster_merge import Roster
 from pearhead.router.worker_control import KeptEvent, KeptEvents, WorkerControl
-from pearhead.rpc.courier import Courier
+from pearhead.rpc.courier import DATAGRAM_ROOM, Courier
 from pearhead.rpc.wire_pb2 import KeptNote, KeptPart
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 from pearhead.runtime.crew import Crew
-from pearhead.runtime.net import MAXIMUM_DATAGRAM
 
 LOGGER = logging.getLogger("pearhead")
 ROUND_MICROS = 200 * MILLI
@@ -29,7 +28,6 @@
 PAUSE_MICROS = 100 * MILLI
 FIRST_REST_MICROS = 250 * MILLI
 LAST_REST_MICROS = 2 * SECOND
-DATAGRAM_ROOM = MAXIMUM_DATAGRAM - 100
 PARTS_A_NOTE = 500
 
 
@@ -246,11 +244,7 @@
         self.told_notes[name] = note
         if joined is not None and (packed_both := pack_note(joined)).ByteSize() <= DATAGRAM_ROOM:
             packed = packed_both
-        if packed.ByteSize() <= DATAGRAM_ROOM:
-            self.courier.cast(addresses, "kept_note", packed)
-            return
-        for address in addresses:
-            self.courier.tell(address, "kept_note", packed)
+        self.courier.broadcast(addresses, "kept_note", packed)
 
     def _is_worth_telling(self, name: str, event: KeptEvent) -> bool:
         """Short parts are read again sooner than anyone hears of them; what was told is also told to be gone."""
--- a/src/pearhead/router/relay.py
+++ b/src/pearhead/router/relay.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from pearhead.discovery.directory import Directory
@@ -21,7 +21,6 @@
 SHUN_MICROS = 4 * SECOND
 FRESH_MICROS = 1_500 * MILLI
 DIRECT_LIMIT = 16
-DATAGRAM_ROOM = 1_100
 KEPT_LIMIT = 2_000
 # A zone of more nodes than this is told by way of some of them.
 DIRECT_FAN_OUT = 6
@@ -89,8 +88,7 @@
         """Whether it goes this way; otherwise its gatherer tells all nodes itself."""
         if not self.is_active():
             return False
-        self.own_kept.append(note)
-        del self.own_kept[:-KEPT_LIMIT]
+        self._keep(self.own_kept, [note])
         return True
 
     async def run(self) -> None:
@@ -110,7 +108,9 @@
         own_relay = self._relay_of(self.zone, by_zone.get(self.zone, []))
         self.own_told = self.loads.note()
         if own_relay is not None:
-            self._send([own_relay.address], RelayNote(hop=0, zone=self.zone, use=self.own_told, kept=self.own_kept))
+            self._broadcast(
+                [own_relay.address], RelayNote(hop=0, zone=self.zone, use=self.own_told, kept=self.own_kept)
+            )
             self.zone_kept, self.own_kept = self.zone_kept + (self.own_kept if self.members else []), []
         else:
             self.zone_kept, self.own_kept = self.zone_kept + self.own_kept, []
@@ -137,7 +137,7 @@
         for zone, records in by_zone.items():
             if zone != self.zone and (relay := self._relay_of(zone, records)) is not None:
                 far.append(relay.address)
-        self._send(far, RelayNote(hop=1, zone=self.zone, use=zone_sum, kept=self.zone_kept))
+        self._broadcast(far, RelayNote(hop=1, zone=self.zone, use=zone_sum, kept=self.zone_kept))
         self.zones = _fresh(self.zones, now_micros)
         fleet_sum = sum_notes([zone_sum, *(told.note for told in self.zones.values())], now_micros)
         kept = [*self.zone_kept, *self.far_kept]
@@ -157,19 +157,19 @@
         """
         shuffled = self.chance.sample(records, len(records))
         if len(shuffled) <= DIRECT_FAN_OUT:
-            return self._send([record.address for record in shuffled], note)
+            return self._broadcast([record.address for record in shuffled], note)
         group_count = math.isqrt(len(shuffled) - 1)
         heard = [record for record in shuffled if record.identity in self.members]
         heads = sorted(heard, key=lambda record: not self._is_heard_just_now(record.identity))[:group_count]
         head_identities = {head.identity for head in heads}
         others = [record.address for record in shuffled if record.identity not in head_identities]
         if not heads:
-            return self._send(others, note)
+            return self._broadcast(others, note)
         for position, head in enumerate(heads):
             copy = RelayNote()
             copy.CopyFrom(note)
             copy.forward.extend(others[position :: len(heads)])
-            self._send([head.address], copy)
+            self._broadcast([head.address], copy)
 
     def _is_heard_just_now(self, identity: str) -> bool:
         return self.members[identity].is_within(HEAD_HEARD_MICROS, self.clock.now())
@@ -177,16 +177,10 @@
     def _pass_on(self, note: RelayNote) -> None:
         addresses = list(note.forward)
         del note.forward[:]
-        self._send(addresses, note)
+        self._broadcast(addresses, note)
 
-    def _send(self, addresses: list[str], note: RelayNote) -> None:
-        if not addresses:
-            return
-        if note.ByteSize() <= DATAGRAM_ROOM:
-            self.courier.cast(addresses, "relay_note", note)
-            return
-        for address in addresses:
-            self.courier.tell(address, "relay_note", note)
+    def _broadcast(self, addresses: list[str], note: RelayNote) -> None:
+        self.courier.broadcast(addresses, "relay_note", note)
 
     def _relay_of(self, zone: str, records: list[Record]) -> Record | None:
         """The zone's relay as this node sees it; None if that is itself. One that is silent is passed over."""
@@ -218,19 +212,19 @@
             self.chosen[note.zone] = (relay, now_micros)
         if note.hop == 0:
             self.members[identity] = _Told(note.use, now_micros)
-            self._keep(self.zone_kept, note)
+            self._keep(self.zone_kept, note.kept)
         elif note.hop == 1:
             self.zones[note.zone] = _Told(note.use, now_micros)
-            self._keep(self.far_kept, note)
+            self._keep(self.far_kept, note.kept)
         elif relay == chosen:
             self._take_fleet(note.use)
         for kept in note.kept:
             self.take_kept(identity, address, kept)
 
     @staticmethod
-    def _keep(waiting: list[KeptNote], note: RelayNote) -> None:
+    def _keep(waiting: list[KeptNote], notes: Iterable[KeptNote]) -> None:
         """What is to be passed on next; bounded, as a node that no longer relays passes nothing on."""
-        waiting.extend(note.kept)
+        waiting.extend(notes)
         del waiting[:-KEPT_LIMIT]
 
     def _take_fleet(self, fleet_sum: UseNote) -> None:
--- a/src/pearhead/router/roster.py
+++ b/src/pearhead/router/roster.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from enum import Enum
 
-from result import Err, Ok
+from result import Err
 
 from pearhead.discovery.directory import Directory
 from pearhead.router.paced_cast import PacedCast
@@ -25,7 +25,6 @@
 from pearhead.runtime.clock import MILLI, SECOND, Clock, rest
 from pearhead.runtime.crew import Crew
 from pearhead.runtime.invariants import Invariant, InvariantCounters
-from pearhead.runtime.net import MAXIMUM_DATAGRAM
 
 LOGGER = logging.getLogger("pearhead")
 SUBJECT = "roster"
@@ -52,7 +51,6 @@
 LIST_LIMIT_MICROS = 900 * MILLI
 WHOLE_MICROS = 10 * SECOND
 RECENT_MICROS = 3 * SECOND
-DATAGRAM_ROOM = MAXIMUM_DATAGRAM - 100
 FROM_LIST = "list"
 
 
@@ -206,7 +204,7 @@
         """Whether the roster is no older than that, or can't be: the list gives this node no answer, or the process was
         not run until just now."""
         now_micros = self.clock.now()
-        was_paused = now_micros - max(self.resumed_micros, self.ticked_micros) > PAUSED_MICROS
+        was_paused = now_micros - self.ticked_micros > PAUSED_MICROS
         has_resumed = now_micros - self.resumed_micros <= PAUSED_MICROS
         is_unanswered = self.is_asking or self.failure_count > 0
         return self._roster_age() <= bound_micros or is_unanswered or was_paused or has_resumed
@@ -226,15 +224,21 @@
 
     async def _pull_from(self, address: str) -> bool:
         """Takes a peer's list if that is newer, and says whether it was."""
-        asked_micros = self.clock.now()
-        given = await self.courier.ask(address, "roster_note", RosterNote(age_micros=self._roster_age()), PEER_MICROS)
-        if isinstance(given, Err) or not given.ok_value.worker:
+        told = await self._ask_peer(address, RosterNote(age_micros=self._roster_age()))
+        if told is None:
             return False
-        # Counted from the asking, so never as newer than it is.
-        listed = [unpack_backend(worker) for worker in given.ok_value.worker]
-        self._take_list(listed, asked_micros - given.ok_value.age_micros, address)
+        self._take_list(told.backends.values(), told.at_micros, address)
         return True
 
+    async def _ask_peer(self, address: str, note: RosterNote) -> Roster | None:
+        """A peer's list; None if it gives none. It counts from the asking, so never as newer than it is."""
+        asked_micros = self.clock.now()
+        given = await self.courier.ask(address, "roster_note", note, PEER_MICROS)
+        if isinstance(given, Err) or not given.ok_value.worker:
+            return None
+        backends = [unpack_backend(worker) for worker in given.ok_value.worker]
+        return Roster({backend.name: backend for backend in backends}, asked_micros - given.ok_value.age_micros)
+
     def _take_list(self, listed: Iterable[Backend], at_micros: int, source: str) -> None:
         if at_micros > self.roster.at_micros:
             self.heard_micros = max(self.heard_micros, self.clock.now())
@@ -285,16 +289,12 @@
 
     async def _send_paced(self, addresses: list[str], note: RosterNote, began_micros: int) -> None:
         """Each batch is told the list's age as it leaves: what it waited here counts."""
-        note_bytes = note.ByteSize()
 
         def send_batch(batch: list[str]) -> None:
             note.age_micros = self.clock.now() - began_micros
-            if note_bytes <= DATAGRAM_ROOM:
-                return self.courier.cast(batch, "roster_note", note)
-            for address in batch:
-                self.courier.tell(address, "roster_note", note)
+            self.courier.broadcast(batch, "roster_note", note)
 
-        await self.paced_cast.send(addresses, note_bytes, send_batch)
+        await self.paced_cast.send(addresses, note.ByteSize(), send_batch)
 
     # ---- hearing ---------------------------------------------------------------------------------
 
@@ -369,12 +369,9 @@
     async def _learn_from(self, address: str) -> None:
         self.is_learning = True
         try:
-            asked_micros = self.clock.now()
-            given = await self.courier.ask(address, "roster_note", RosterNote(), PEER_MICROS)
-            if isinstance(given, Ok) and given.ok_value.worker:
-                # Counted from the asking, so never as newer than it is.
-                listed = [unpack_backend(w) for w in given.ok_value.worker]
-                self._merge(listed, asked_micros - given.ok_value.age_micros, address, adds_only=True)
+            told = await self._ask_peer(address, RosterNote())
+            if told is not None:
+                self._merge(told.backends.values(), told.at_micros, address, adds_only=True)
         finally:
             self.is_learning = False
 
--- a/src/pearhead/rpc/courier.py
+++ b/src/pearhead/rpc/courier.py
@@ -13,12 +13,14 @@
 
 from pearhead.rpc.wire_pb2 import Envelope
 from pearhead.runtime.clock import Clock
-from pearhead.runtime.net import Net
+from pearhead.runtime.net import MAXIMUM_DATAGRAM, Net
 
 # The envelope's field by the message that it holds.
 BODY_NAMES = {f.message_type.name: f.name for f in Envelope.DESCRIPTOR.fields if f.message_type is not None}
 LIFE_BITS = 64
 ASK_SUFFIX = "_ask"
+# Of a datagram, what is left for a body by the envelope around it.
+DATAGRAM_ROOM = MAXIMUM_DATAGRAM - 100
 
 TellHandler = Callable[[str, str, Any], None]
 AskHandler = Callable[[str, str, Any], Awaitable[Message | None]]
@@ -76,6 +78,15 @@
         extra_count = len(target_addresses) - 1
         self._count(body_name, extra_count, extra_count * len(datagram_bytes))
 
+    def broadcast(self, target_addresses: list[str], body_name: str, body: Message) -> None:
+        """Casts what fits a datagram, and tells each what does not."""
+        if body.ByteSize() <= DATAGRAM_ROOM:
+            if target_addresses:
+                self.cast(target_addresses, body_name, body)
+            return
+        for target_address in target_addresses:
+            self.tell(target_address, body_name, body)
+
     async def ask(self, target_address: str, body_name: str, body: Message, limit_micros: int) -> Result[Any, str]:
         ask_number = self.next_ask
         self.next_ask += 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -39,7 +39,7 @@
     def on_tell(self, body_name: str, handler: object) -> None:
         return None
 
-    def cast(self, addresses: list[str], body_name: str, body: Message) -> None:
+    def broadcast(self, addresses: list[str], body_name: str, body: Message) -> None:
         for address in addresses:
             self.tell(address, body_name, body)
 
