Tests: who asks the list, and a run under way at a worker, are each said in one place

asker_of stood in test_roster and in test_roster_freshness; the same seven lines began a slow run in two tests of test_site_sockets, which now both assert its status and that one request runs.

--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -12,7 +12,7 @@
 from pearhead.rpc.wire_pb2 import ListedWorker, RosterNote
 from pearhead.runtime.clock import MILLI, SECOND
 from pearhead.testbed.simulator.world import World, pause, run_virtual
-from tests.workerfleet import SERVICE, FleetNode, WorkerFleet, busiest_second, sent_bytes
+from tests.workerfleet import SERVICE, FleetNode, WorkerFleet, asker_of, busiest_second, sent_bytes
 
 
 def make_backend(name: str, is_leaving: bool = False) -> Backend:
@@ -33,10 +33,6 @@
     return run_virtual(seed, whole)
 
 
-def asker_of(fleet: WorkerFleet) -> FleetNode:
-    return fleet.node_of(fleet.platform.list_calls[-1][1])
-
-
 class RosterMergeTest(unittest.TestCase):
     def setUp(self) -> None:
         self.merge = RosterMerge()
--- a/tests/test_roster_freshness.py
+++ b/tests/test_roster_freshness.py
@@ -11,7 +11,7 @@
 from pearhead.runtime.clock import MILLI, SECOND
 from pearhead.testbed.simulator.uplink import PACKET_OVERHEAD_BYTES, Uplink
 from pearhead.testbed.simulator.world import World, pause, run_virtual
-from tests.workerfleet import LINE, SERVICE, FleetNode, WorkerFleet, busiest_second
+from tests.workerfleet import LINE, SERVICE, WorkerFleet, asker_of, busiest_second
 
 # The users' grown sites: 63 nodes behind 5 Mbit/s; what their links queue is not told, and reckoned from a trial.
 NODE_COUNT = 63
@@ -62,10 +62,6 @@
     return [node.name for node in running if leaving & node.names()]
 
 
-def asker_of(fleet: WorkerFleet) -> FleetNode:
-    return fleet.node_of(fleet.platform.list_calls[-1][1])
-
-
 class RosterFreshnessTest(unittest.TestCase):
     def test_a_large_fleet_behind_narrow_links_hears_in_time_who_leaves(self) -> None:
         """Incident of issue 20: bursts of notes overflowed the link of their sender, which always dropped the same."""
--- a/tests/test_site_sockets.py
+++ b/tests/test_site_sockets.py
@@ -27,7 +27,7 @@
 from pearhead.testbed.emulator.operator import SiteOperator
 from pearhead.testbed.emulator.plan import Machine, PlanMaker, SiteSize
 from pearhead.testbed.emulator.store import StoreModel, StoreSite, build_store
-from pearhead.testbed.emulator.wire import Answer, RawConnection, WireError, ask
+from pearhead.testbed.emulator.wire import Answer, Head, RawConnection, WireError, ask
 
 POLL_SECONDS = 0.005
 SLOW_STEP_MICROS = 50_000
@@ -159,19 +159,24 @@
         _, world = self.outcome_of({"late": 1.0})
         self.assertLessEqual({f.partition(":")[0] for f in world.report.faults}, {"MIXED"})
 
+    async def begin_slow_run(self, world: World) -> tuple[RawConnection, Head]:
+        """A request that the worker is at work on, and the head of its answer."""
+        world.model.settings = replace(FAST, step_micros=200_000)
+        request = world.draw.draw()
+        headers = {"Host": "h", "X-Request-Id": "left", "X-Deadline": "9000", **request.headers}
+        connection = RawConnection(world.engine_address)
+        await connection.open()
+        await connection.send(request.method, request.path, headers, request.body)
+        head = await connection.read_head()
+        self.assertEqual((head.status, len(world.model.running)), (200, 1))
+        return connection, head
+
     def test_only_what_the_worker_itself_breaks_off_is_recorded_as_broken_off(self) -> None:
         """A node that closes in the middle of an answer is no excuse for itself."""
 
         async def story() -> None:
             world = World()
-            world.model.settings = replace(FAST, step_micros=200_000)
-            request = world.draw.draw()
-            headers = {"Host": "h", "X-Request-Id": "left", "X-Deadline": "9000", **request.headers}
-            connection = RawConnection(world.engine_address)
-            await connection.open()
-            await connection.send(request.method, request.path, headers, request.body)
-            self.assertEqual((await connection.read_head()).status, 200)
-            self.assertEqual(len(world.model.running), 1)
+            connection, _ = await self.begin_slow_run(world)
             connection.close()
             while world.model.running:
                 await asyncio.sleep(0.01)
@@ -192,14 +197,7 @@
 
         async def story() -> None:
             world = World()
-            world.model.settings = replace(FAST, step_micros=200_000)
-            request = world.draw.draw()
-            headers = {"Host": "h", "X-Request-Id": "left", "X-Deadline": "9000", **request.headers}
-            connection = RawConnection(world.engine_address)
-            await connection.open()
-            await connection.send(request.method, request.path, headers, request.body)
-            head = await connection.read_head()
-            self.assertEqual((head.status, len(world.model.running)), (200, 1))
+            connection, head = await self.begin_slow_run(world)
             for task in asyncio.all_tasks():
                 if "_execute" in repr(task.get_coro()):
                     task.cancel()
--- a/tests/workerfleet.py
+++ b/tests/workerfleet.py
@@ -432,6 +432,11 @@
         return [fault for node in self.nodes for fault in node.machine.crew.faults]
 
 
+def asker_of(fleet: WorkerFleet) -> FleetNode:
+    """The node that asked the platform's list last."""
+    return fleet.node_of(fleet.platform.list_calls[-1][1])
+
+
 def sent_bytes(nodes: list[FleetNode], body_name: str) -> int:
     return sum(node.courier.sent_bytes.get(body_name, 0) for node in nodes)
 
