Streams: the weights that a worker tells decide whether a run may follow

Cause (by reading and by a script on the class alone): StreamSequence compared the weights that runs were asked for. What the head of an answer and the first line of an event tell was not read, so a run whose weights changed midway and that broke off could be followed by one on older weights, and a run that tells older ones than it was asked for was joined. Change: the dialect reads the line, StreamSequence takes it from that event on, VERSION_WENT_BACK ends the run as a cut one. Conclusion: the hypothesis holds as a fault of the class; that it is the users' ORDER is suspected only.

--- a/src/pearhead/router/event_stream.py
+++ b/src/pearhead/router/event_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 
 from result import Err
 
@@ -13,6 +14,12 @@
 # A block that has these alone is no event to the caller.
 EVENT_DATA = re.compile(rb"^(?!(?:event|retry)(?::|\r?$))[^:\r\n]", re.MULTILINE)
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Reads from a whole event the version of the weights that it says to begin with; None where it says nothing of it.
+VersionReader = Callable[[bytes], int | None]
+
+
+def _tells_no_version(event: bytes) -> int | None:
+    return None
 
 
 class EventSplitter:
@@ -21,8 +28,9 @@
     `last_id` is that of the last event given out. After a `violation` nothing of the run is given out any more.
     """
 
-    def __init__(self, last_id: str = "") -> None:
+    def __init__(self, last_id: str = "", read_version: VersionReader = _tells_no_version) -> None:
         self.sequence = StreamSequence(last_id)
+        self.read_version = read_version
         self.pending = b""
         self.violation: StreamViolation | None = None
 
@@ -47,7 +55,7 @@
             if end is None:
                 break
             event, self.pending = self.pending[: end.end()], self.pending[end.end() :]
-            action = self.sequence.take(read_fields(event))
+            action = self.sequence.take(read_fields(event, self.read_version(event)))
             if isinstance(action, Err):
                 self.violation = action.err_value
             elif action.ok_value is EventAction.FORWARD:
@@ -61,8 +69,8 @@
         return self.violation is None and not self.pending
 
 
-def read_fields(event: bytes) -> EventFields:
+def read_fields(event: bytes, version: int | None = None) -> EventFields:
     """The last id counts, as the format says."""
     ids = EVENT_ID.findall(event)
     event_id = ids[-1].decode("latin1").strip() if ids else ""
-    return EventFields(event_id, EVENT_DATA.search(event) is not None)
+    return EventFields(event_id, EVENT_DATA.search(event) is not None, version)
--- a/src/pearhead/router/gate.py
+++ b/src/pearhead/router/gate.py
@@ -133,7 +133,8 @@
 
     async def serve(self, request: OpaqueRequest, pen: AnswerPen) -> None:
         """Ends with a whole answer, a refusal, or an aborted connection; nothing is left open behind it."""
-        passage = Passage(request, pen, EventSplitter(request.last_event_id), task=asyncio.current_task())
+        splitter = EventSplitter(request.last_event_id, self.dialect.event_version)
+        passage = Passage(request, pen, splitter, task=asyncio.current_task())
         self.passages.add(passage)
         self.taken_count += 1
         try:
@@ -348,7 +349,8 @@
     ) -> Refusal:
         """Event by event as they come; each only when it is whole."""
         worker, pen = choice.backend.name, passage.pen
-        passage.splitter.begin_run(choice.version)
+        # What the worker says of its weights counts before what it was asked for.
+        passage.splitter.begin_run(choice.version if head.version is None else head.version)
         async for chunk in call.chunks(lambda: passage.deadline_micros - self.clock.now()):
             if pen.is_gone():
                 passage.is_done = True
--- a/src/pearhead/router/opaque.py
+++ b/src/pearhead/router/opaque.py
@@ -71,11 +71,14 @@
 
 @dataclass(frozen=True)
 class AnswerHead:
+    """`version`: of the weights that answer, where told; `versions`: the same by the line that the request named."""
+
     status: int
     reason: str
     headers: HTTPHeaders
     verdict: Verdict
     versions: Mapping[str, int]
+    version: int | None = None
 
 
 class Dialect(Protocol):
@@ -87,6 +90,9 @@
         self, request: OpaqueRequest, directions: Directions, status: int, reason: str, headers: HTTPHeaders
     ) -> AnswerHead: ...
 
+    def event_version(self, event: bytes) -> int | None:
+        """The version of the weights that an event of a stream says to begin with; None where it says nothing of it."""
+
     def refusal(self, request: OpaqueRequest | None, refusal: Refusal) -> tuple[int, HTTPHeaders, bytes]: ...
 
 
--- a/src/pearhead/router/stream_sequence.py
+++ b/src/pearhead/router/stream_sequence.py
@@ -1,8 +1,8 @@
 """StreamSequence (§8.9): the invariant of a streamed answer, which one or several runs of workers may produce.
 
-The event ids given to a caller only rise. A later run is joined only directly after the last event that was given out,
-and an answer is complete only if its last run continued from there. Whatever would break this is a `StreamViolation`:
-nothing of that run is given out from then on.
+The event ids given to a caller only rise, and the version of the weights that made the events never goes back. A later
+run is joined only directly after the last event that was given out, and an answer is complete only if its last run
+continued from there. Whatever would break this is a `StreamViolation`: nothing of that run is given out from then on.
 """
 
 from __future__ import annotations
@@ -26,6 +26,7 @@
     POSITION_MISSED = "stream_position_missed"
     POSITION_UNKNOWN = "stream_position_unknown"
     ENDED_EARLY = "stream_ended_early"
+    VERSION_WENT_BACK = "stream_version_went_back"
 
 
 class EventAction(enum.Enum):
@@ -37,10 +38,14 @@
 
 @dataclass(frozen=True)
 class EventFields:
-    """What the sequence needs to know of an event. Comments and empty events have no data."""
+    """What the sequence needs to know of an event. Comments and empty events have no data.
+
+    `version` is that of the weights from this event on, where the event tells that it changes.
+    """
 
     event_id: str
     has_data: bool
+    version: int | None = None
 
 
 class StepRecord:
@@ -83,7 +88,7 @@
         self._has_reached_last = False
 
     def begin_run(self, version: int | None = None) -> None:
-        """A run begins that was asked to continue after `last_id`."""
+        """A run begins that was asked to continue after `last_id`; `version` is that of the weights it says it has."""
         self._run_version = version
         # An id of the caller's own that is no number can't be compared with others.
         self._is_joining = _is_number(self.last_id)
@@ -105,6 +110,8 @@
 
     def take(self, event: EventFields) -> Result[EventAction, StreamViolation]:
         """What to do with the next whole event of the run."""
+        if event.version is not None:
+            self._run_version = event.version
         if not event.event_id:
             return self._take_without_id(event)
         if self._is_joining:
@@ -124,6 +131,8 @@
             return Ok(EventAction.SKIP if self._is_joining else EventAction.FORWARD)
         if self._is_joining and self.has_forwarded:
             return Err(StreamViolation.POSITION_UNKNOWN)
+        if not self.accepts_version(self._run_version):
+            return Err(StreamViolation.VERSION_WENT_BACK)
         self.is_position_known = False
         return Ok(self._note_forwarded())
 
@@ -144,6 +153,8 @@
         return self._forward(event_id)
 
     def _forward(self, event_id: str) -> Result[EventAction, StreamViolation]:
+        if not self.accepts_version(self._run_version):
+            return Err(StreamViolation.VERSION_WENT_BACK)
         if self.has_forwarded and _is_number(event_id) and _is_number(self.last_id):
             self.steps.take(int(event_id) - int(self.last_id))
         self.last_id = event_id
--- a/src/pearhead/testbed/emulator/client.py
+++ b/src/pearhead/testbed/emulator/client.py
@@ -100,12 +100,16 @@
 
 @dataclass
 class StreamCheck:
-    """What is wrong with the pieces of one answer. Breaches are pairs of a rule's name and a sentence."""
+    """What is wrong with the pieces of one answer. Breaches are pairs of a rule's name and a sentence.
+
+    `version`: of the weights, as told last, by the head or by an event; 0 while nothing was told.
+    """
 
     request: SiteRequest
     seal: Seal
     resumed_from: int
     last_number: int = 0
+    version: int = 0
     faults: list[tuple[str, str]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -115,6 +119,7 @@
         if piece is None:
             self.faults.append(("MIXED", "bytes that are no event"))
             return
+        self.take_version(piece.version)
         if piece.text != piece_text(self.request.digest, piece.number):
             self.faults.append(("MIXED", f"piece {piece.text} belongs to another request"))
         if piece.number != self.last_number + 1:
@@ -123,6 +128,12 @@
             self.faults.append(("ORDER", f"pieces of the runs {self.seal.run} and {piece.run} are joined"))
         self.last_number = piece.number
 
+    def take_version(self, version: int) -> None:
+        """The head or an event told it; 0 where it told nothing."""
+        if 0 < version < self.version:
+            self.faults.append(("ORDER", f"weights {version} follow weights {self.version}"))
+        self.version = version or self.version
+
     def end(self) -> None:
         """The answer ended as whole."""
         if self.last_number < self.seal.pieces:
@@ -337,6 +348,8 @@
     ) -> None:
         is_success = 200 <= head.status < 300
         check = StreamCheck(request, read_seal(head.text("x-answer-seal")) or Seal("", "", 0), resumed_from)
+        told = head.text("x-weight-versions").strip()
+        check.take_version(int(told) if told.isdecimal() else 0)
         splitter = EventSplitter()
         body = connection.read_body(head)
         try:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -126,6 +126,9 @@
         verdict = {200: Verdict.SUCCESS, 503: Verdict.NOT_RUN, 421: Verdict.OTHER_WORKER, 299: Verdict.FOREIGN}
         return AnswerHead(status, reason, headers, verdict.get(status, Verdict.FAILURE), {})
 
+    def event_version(self, event: bytes) -> int | None:
+        return None
+
     def refusal(self, request: OpaqueRequest | None, refusal: Refusal) -> tuple[int, HTTPHeaders, bytes]:
         return ERROR_TABLE[refusal.kind].status, HTTPHeaders(), b"{}"
 
--- a/tests/test_site_checkers.py
+++ b/tests/test_site_checkers.py
@@ -466,6 +466,12 @@
         self.assertEqual(self.judge([1, 2, 3], replace(self.request, is_resumable=True), "another"), [])
         self.assertIn("ORDER", self.judge([1, 2, 3], replace(self.request, is_resumable=False), "another"))
         self.assertIn("MIXED", self.judge([1, 2, 3], replace(self.request, body=b"other")))
+        for told, is_broken in (((0, 0, 0), False), ((0, 2, 0), False), ((0, 2, 1), True), ((1, 0, 0), True)):
+            check = StreamCheck(self.request, self.seal, 0)
+            check.take_version(2 if told[0] else 0)
+            for number, version in enumerate(told, 1):
+                check.take(Piece(number, "run", piece_text(self.request.digest, number), version))
+            self.assertEqual("ORDER" in [rule for rule, _ in check.faults], is_broken, told)
         check = StreamCheck(self.request, self.seal, 0)
         check.take(read_piece(b"what is this"))
         self.assertEqual(check.faults[0][0], "MIXED")
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -541,6 +541,35 @@
         self.assertEqual(await self.runs_at(3, 2, 4, first=broken), ("whole", [1, 0, 1]))
         self.assertEqual(await self.runs_at(3, 2, first=broken), ("cut", [1, 0]))
 
+    async def test_what_a_worker_tells_of_its_weights_counts_before_what_it_was_asked_for(self) -> None:
+        """Its weights may change while it runs, which it tells by a first line of the event at which they do."""
+        newer = b"x-weight-versions: 4\n" + event(2)
+        for changed in (
+            Run(chunk(event(1) + newer), headers="X-Weight-Versions: 3\r\n", is_reset=True),
+            Run(chunk(events(1, 2)), headers="X-Weight-Versions: 4\r\n", is_reset=True),
+        ):
+            self.assertEqual(await self.runs_at(3, 3, 4, first=changed), ("whole", [1, 0, 1]))
+            self.assertEqual(await self.runs_at(3, 3, first=changed), ("cut", [1, 0]))
+
+    async def test_a_run_that_tells_older_weights_than_it_was_asked_for_is_not_joined(self) -> None:
+        broken = Run(chunk(events(1, 2)), headers="X-Weight-Versions: 4\r\n", is_reset=True)
+        older = Run(whole(events(3, PIECES, "b")), headers="X-Weight-Versions: 3\r\n")
+        async with StreamSite([broken], [older]) as site:
+            site.gate.placer = VersionsInTurn(site.workers, (4, 4))  # type: ignore[assignment]
+            received = await site.ask()
+        self.assertEqual(
+            (received.end, received.body, site.violations), ("cut", events(1, 2), ["stream_version_went_back"])
+        )
+
+    async def test_an_event_whose_weights_go_back_within_a_run_ends_it(self) -> None:
+        back = b"x-weight-versions: 3\n" + event(3)
+        run = Run(whole(events(1, 2) + back + events(4, PIECES)), headers="X-Weight-Versions: 4\r\n")
+        async with StreamSite([run], route=ROUTE) as site:
+            received = await site.ask()
+        self.assertEqual(
+            (received.end, received.body, site.violations), ("cut", events(1, 2), ["stream_version_went_back"])
+        )
+
     async def test_an_answer_that_gave_nothing_out_may_begin_on_any_weights(self) -> None:
         self.assertEqual(await self.runs_at(3, 2, 3, first=Run(b"", is_reset=True)), ("whole", [1, 1, 0]))
 
--- a/tests/test_stream_sequence.py
+++ b/tests/test_stream_sequence.py
@@ -163,6 +163,18 @@
         self.take(sequence, "2")
         self.assertFalse(sequence.accepts_version(3))
 
+    def test_the_version_that_an_event_tells_counts_from_that_event_on(self) -> None:
+        sequence = StreamSequence()
+        sequence.begin_run(3)
+        self.take(sequence, "1")
+        self.assertTrue(sequence.accepts_version(3))
+        sequence.take(EventFields("2", True, version=5))
+        self.take(sequence, "3")
+        self.assertEqual([sequence.accepts_version(version) for version in (3, 4, 5)], [False, False, True])
+        refused = sequence.take(EventFields("4", True, version=4))
+        self.assertEqual(refused.err(), StreamViolation.VERSION_WENT_BACK)
+        self.assertEqual(sequence.last_id, "3", "nothing of it was given out")
+
     def test_an_id_of_too_many_digits_is_no_position(self) -> None:
         for digits, is_position in ((18, True), (19, False), (5_000, False)):
             sequence = StreamSequence()
