Keys: where revocations bind every machine, a view that is older than RevokeMs accepts none

A front node that hears of no core served on by its last confirmed view for 60 s, keys among it; StrictRevoke was read and changed nothing. Ruled out: a bound on all requests (public ones need no key), a margin for the way to the worker (the request is sent before the check, and the check is in one step with the first byte; the view counts from when its confirmation was asked for). Before: the two new tests fail (a key is accepted for 60 s); after: refused with NOT_CURRENT, which promises that it did not run. Conclusion: other deployments (StrictRevoke false) are unchanged.

--- a/src/pearhead/router/gate.py
+++ b/src/pearhead/router/gate.py
@@ -113,6 +113,7 @@
         drain: DrainState | None = None,
         on_violation: Callable[[str], None] = lambda name: None,
         check_send: Callable[[], None] = lambda: None,
+        trusts_keys: Callable[[], bool] = lambda: True,
     ) -> None:
         self.clock = clock
         self.current = current
@@ -129,6 +130,7 @@
         self.passages: set[Passage] = set()
         self.on_violation = on_violation
         self.check_send = check_send
+        self.trusts_keys = trusts_keys
         self.outcomes: dict[str, int] = {}
 
     async def serve(self, request: OpaqueRequest, pen: AnswerPen) -> None:
@@ -218,6 +220,8 @@
         tenant = view.tenant_by_hash.get(request.key_hash) if request.key_hash else None
         if tenant is None and view.description.tenants and not route.public:
             return Err(Refusal(ErrorKind.BAD_KEY, "no tenant has this key"))
+        if tenant is not None and not self.trusts_keys():
+            return Err(Refusal(ErrorKind.NOT_CURRENT, "the key may have been taken away", NOT_CURRENT_MICROS))
         return Ok(Way(view, route, tenant))
 
     def _may_try(self, passage: Passage, route: Route) -> bool:
--- a/src/pearhead/router/gateway.py
+++ b/src/pearhead/router/gateway.py
@@ -56,6 +56,8 @@
 class GatewaySettings:
     """`serve_on_micros`: how long a node serves by a view that it could not confirm since (§5.5).
 
+    `key_trust_micros`: how long it accepts tenants' keys by such a view, where a key that was taken away must end in a
+    time of its own at every node, also one that hears of no core; 0: as long as it serves.
     `log_stats_micros`: how often a line of counts is logged; never if it is 0. `leaving_micros`: how long a worker
     serves on once the list shows that it leaves.
     """
@@ -64,6 +66,7 @@
     retry_slack: int = 10
     retry_window_micros: int = 10 * SECOND
     serve_on_micros: int = 60 * SECOND
+    key_trust_micros: int = 0
     list_micros: int = SECOND
     least_kept_tokens: int = 512
     log_stats_micros: int = 60 * SECOND
@@ -178,6 +181,7 @@
             self.reads,
             self.drain,
             check_send=self._check_roster,
+            trusts_keys=self.trusts_keys,
         )
         self.stats_log = StatsLog(clock, self.gate, self.pool, budget, settings.log_stats_micros)
         self.taken_before_drain = 0
@@ -227,6 +231,11 @@
         is_known = self.clock.now() - keeper.current_at <= self.settings.serve_on_micros
         return keeper.view if is_known else None
 
+    def trusts_keys(self) -> bool:
+        """Whether a key that the view holds is surely in force, or was until so lately that it may still be used."""
+        bound_micros = self.settings.key_trust_micros
+        return not bound_micros or self.clock.now() - self.keeper.current_at <= bound_micros
+
     def client_limits(self) -> ClientLimits:
         """The limits of the description last known; read anew only when that changed."""
         body = self.keeper.view.sections["description"][1]
--- a/tests/test_fresh_state.py
+++ b/tests/test_fresh_state.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import random
 import unittest
 from typing import Any
 
+from result import Err
+from tornado.httputil import HTTPHeaders
+
+from pearhead.config.description import Description, Route, Split, Tenant
 from pearhead.config.startup import Startup
 from pearhead.config.view import View
+from pearhead.router.errors import ErrorKind
 from pearhead.router.fleet_budget import FleetBudget
+from pearhead.router.gate import hash_key
 from pearhead.router.gateway import GatewayProcess, GatewaySettings
+from pearhead.router.opaque import OpaqueRequest
 from pearhead.router.weights_clock import WeightsClock
 from pearhead.rpc.wire_pb2 import Record
 from pearhead.runtime.bench import Bench
@@ -23,10 +31,10 @@
 OLD_MICROS = 6 * SECOND
 
 
-def make_gateway(bench: Bench) -> GatewayProcess:
+def make_gateway(bench: Bench, key_trust_micros: int = 0) -> GatewayProcess:
     startup = Startup(address="a:1", httpAddress="a:2", area="a", seeds=["s:1"], oldWeightsMicros=OLD_MICROS)
     unused: Any = None
-    settings = GatewaySettings(serve_on_micros=SERVE_ON_MICROS)
+    settings = GatewaySettings(serve_on_micros=SERVE_ON_MICROS, key_trust_micros=key_trust_micros)
     return GatewayProcess(startup, settings, bench, bench, unused, unused, random.Random(1))
 
 
@@ -61,6 +69,39 @@
         self.assertFalse(gateway.is_ready())
 
 
+class KeyAgeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_keys_end_in_their_own_time_at_a_node_that_hears_of_no_core(self) -> None:
+        bench = Bench()
+        for bound_micros, trusted_micros in ((5 * SECOND, 5 * SECOND), (0, SERVE_ON_MICROS)):
+            gateway = make_gateway(bench, bound_micros)
+            gateway.keeper.view, gateway.keeper.has_view = make_view(3), True
+            gateway.keeper.current_at = bench.now()
+            bench.now_micros += trusted_micros
+            self.assertTrue(gateway.trusts_keys())
+            self.assertIsNotNone(gateway.view())
+            bench.now_micros += 1
+            self.assertEqual(gateway.trusts_keys(), not bound_micros)
+
+    async def test_a_gate_asks_for_each_request_with_a_key_and_again_as_it_is_sent(self) -> None:
+        bench = Bench()
+        gateway = make_gateway(bench, 5 * SECOND)
+        tenant = Tenant("t", keyHashes=[hash_key("key")])
+        routes = [Route("r", "h", "/a/", [Split("s", 1)], SECOND), Route("p", "h", "/p/", [Split("s", 1)], SECOND)]
+        routes[1] = dataclasses.replace(routes[1], public=True)
+        view = View()
+        view.__dict__.update(description=Description(routes=routes, tenants=[tenant]), number=3)
+        gateway.keeper.view, gateway.keeper.has_view, gateway.keeper.current_at = view, True, bench.now()
+
+        def look(path: str, key: str) -> ErrorKind | None:
+            request = OpaqueRequest("1", "POST", path, "h", path, HTTPHeaders(), b"", bench.now(), hash_key(key))
+            looked = gateway.gate._look(request)
+            return looked.err_value.kind if isinstance(looked, Err) else None
+
+        self.assertEqual((look("/a/", "key"), look("/a/", "none")), (None, ErrorKind.BAD_KEY))
+        bench.now_micros += 5 * SECOND + 1
+        self.assertEqual((look("/a/", "key"), look("/p/", "")), (ErrorKind.NOT_CURRENT, None))
+
+
 class WeightsAgeTest(unittest.IsolatedAsyncioTestCase):
     async def test_old_weights_are_used_for_a_bounded_time_from_before_their_successors_naming(self) -> None:
         bench = Bench()
