Kept parts: a lost report leaves what is known of a worker's cache

Ruled out: asking for a worker's whole list (it holds the worker up, and is priced), acknowledged notes (one more message a node and period). What is gone costs a read or a millisecond of a miss; the salt and the version keep it from being wrong. Change: a gap forgets nothing, another life does; the note before is said once more by way of relays too.

--- a/src/pearhead/router/kept_gatherer.py
+++ b/src/pearhead/router/kept_gatherer.py
@@ -214,9 +214,8 @@
             begin = given if asked.sequence == 0 else KeptEvents(given.life, 0, True)
             self._tell(name, 0, begin, is_whole=True)
             return
-        if given.is_dropped:
-            self._tell(name, asked.told_sequence, given, is_whole=True)
-        elif given.events:
+        if given.events:
+            # Of events that are gone unseen nothing is known; what was known before stands (§6.5).
             self._tell(name, asked.told_sequence, given, is_whole=False)
         elif given.next_sequence > asked.sequence:
             self.cursors[name] = asked.passed(given.next_sequence)
@@ -237,13 +236,13 @@
             ),
         )
         self.sink.take(note)
-        if self.spread is not None and self.spread(pack_note(note)):
-            return
-        addresses = [r.address for r in self.directory.members("router")]
         packed, joined = pack_note(note), join_notes(self.told_notes.get(name), note)
         self.told_notes[name] = note
         if joined is not None and (packed_both := pack_note(joined)).ByteSize() <= DATAGRAM_ROOM:
             packed = packed_both
+        if self.spread is not None and self.spread(packed):
+            return
+        addresses = [r.address for r in self.directory.members("router")]
         self.courier.broadcast(addresses, "kept_note", packed)
 
     def _is_worth_telling(self, name: str, event: KeptEvent) -> bool:
--- a/src/pearhead/router/kept_index.py
+++ b/src/pearhead/router/kept_index.py
@@ -12,7 +12,11 @@
 
 
 class KeptIndex:
-    """A keeper is a worker's or a store's name. What was not reported is not known; what was may be gone."""
+    """A keeper is a worker's or a store's name. What was not reported is not known; what was may be gone.
+
+    A report that is lost or overtaken leaves what is known as it is (§6.5): a placement by what is gone costs a read,
+    and so would each part that was forgotten though it is kept.
+    """
 
     def __init__(self) -> None:
         self.parts: dict[str, OrderedDict[tuple[str, str], int]] = {}
@@ -25,9 +29,6 @@
             self.forget(note.worker)
         elif note.sequence <= sequence:
             return
-        elif note.from_sequence > sequence:
-            # A gap: what was dropped in it is not known (§6.5).
-            self.forget(note.worker)
         self.sequences[note.worker] = (note.life, note.sequence)
         held = self.parts.setdefault(note.worker, OrderedDict())
         for part in note.part:
