Reading: how fast engines read is learned from the quickest reads, not a constant

Cause: the reckoning of a read was fitted to the first deployments' engines (19.7 microseconds a token). The new deployment's read 157 tokens a millisecond, a third of that, so all that waits seemed three times as long: long prompts spared four tenths of the workers at a backlog of 0.1 s instead of 0.3 s, on an ordinary load, and crowded the others. Change: ReadRates, a factor a service, from the least time of some reads in 5 to 10 s; falls at once, rises slowly.

--- a/src/pearhead/router/gate.py
+++ b/src/pearhead/router/gate.py
@@ -364,9 +364,7 @@
             if events and waiting.is_waiting:
                 waiting.first_event()
                 self.placer.expect(worker, choice.salt, [part.part for part in passage.request.parts[:-1]])
-                self.loads.learn_pace(
-                    worker, choice.missing_tokens, choice.expected_micros, self.clock.now() - sent_micros
-                )
+                self._learn_read(choice, self.clock.now() - sent_micros)
             if events and not passage.has_begun:
                 passage.has_begun = True
                 pen.begin(head.status, head.reason, _passed_on(head.headers))
@@ -387,6 +385,12 @@
         self._count("done")
         return Refusal(ErrorKind.OUTCOME_UNKNOWN)
 
+    def _learn_read(self, choice: Choice, seen_micros: int) -> None:
+        """From its request to its first event a worker took so long."""
+        self.loads.learn_pace(choice.backend.name, choice.missing_tokens, choice.expected_micros, seen_micros)
+        if not choice.fetch_from:
+            self.loads.read_rates.take(choice.service, choice.missing_tokens, choice.kept_tokens, seen_micros)
+
     async def _pass_whole(self, passage: Passage, head: AnswerHead, call: UpstreamCall, worker: str) -> Refusal:
         """Gathered first, so that a cut one can still become a failure or another try."""
         gathered = await self._gather(passage, call)
--- a/src/pearhead/router/load_book.py
+++ b/src/pearhead/router/load_book.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from pearhead.router.read_rate import ReadRates
 from pearhead.rpc.wire_pb2 import UseNote, WorkerUse
 from pearhead.runtime.clock import MILLI, SECOND, Clock
 
@@ -34,6 +35,7 @@
         self.rests_until: dict[str, int] = {}
         self.fault_counts: dict[str, int] = {}
         self.paces: dict[str, float] = {}
+        self.read_rates = ReadRates(clock)
         self.totals: dict[str, Use] = {}
         self.totals_until = 0
         self.is_changed = False
--- a/src/pearhead/router/placer.py
+++ b/src/pearhead/router/placer.py
@@ -15,15 +15,12 @@
 from pearhead.router.load_book import LoadBook
 from pearhead.router.opaque import OpaqueRequest
 from pearhead.router.part_salt import PartSalt, SaltText
+from pearhead.router.read_rate import FIRST_MICROS, MICROS_A_TOKEN, read_micros
 from pearhead.router.roster_merge import Roster
 from pearhead.router.version_book import VersionBook
 from pearhead.router.worker_control import Backend
 from pearhead.runtime.clock import MILLI, SECOND, Clock
 
-# Reading: a token with its share of the batch's step, and each pair of a token read with one before it.
-MICROS_A_TOKEN = 19.7
-MICROS_A_PAIR = 0.000_324
-FIRST_MICROS = 12 * MILLI
 FETCH_FIXED_MICROS = 6 * MILLI
 SLOT_MICROS = 600
 QUEUED_MICROS = 60 * MILLI
@@ -200,8 +197,9 @@
         use = self.loads.use_of(backend.name)
         pace = self.loads.pace_of(backend.name)
         read = missing - fetched
-        own_micros = read_micros(read, kept + fetched) + fetch_micros + FIRST_MICROS
-        waiting_micros = use.waiting_tokens * MICROS_A_TOKEN + use.running * SLOT_MICROS
+        rate = self.loads.read_rates.factor(service.name)
+        own_micros = rate * read_micros(read, kept + fetched) + fetch_micros + FIRST_MICROS
+        waiting_micros = rate * use.waiting_tokens * MICROS_A_TOKEN + use.running * SLOT_MICROS
         capacity = backend.capacity or service.capacity or 1
         if use.running >= capacity:
             waiting_micros += QUEUED_MICROS * (1 + use.running - capacity)
@@ -212,7 +210,7 @@
         again = min(kept_anywhere.get(version, 0), shared) - kept - fetched
         strangeness += min(max(again, 0) * AGAIN_MICROS_A_TOKEN, AGAIN_LIMIT_MICROS)
         if shared >= LONG_TOKENS and kept < shared:
-            strangeness += min(home_rank, 3) * AFFINITY_SHARE * shared * MICROS_A_TOKEN / 3
+            strangeness += rate * min(home_rank, 3) * AFFINITY_SHARE * shared * MICROS_A_TOKEN / 3
         save_to = self._store_for(view, salt.text, request, kept) if salt.is_fresh else ""
         return reckoned * pace + strangeness, Choice(
             backend, service.name, line, version, salt.text, kept + fetched, read, fetch_from, save_to, int(reckoned)
@@ -228,7 +226,8 @@
         if request.prompt_tokens() < LONG_TOKENS:
             return frozenset(), 0.0
         waiting_tokens = sum(self.loads.use_of(backend.name).waiting_tokens for backend in candidates)
-        excess_micros = waiting_tokens * MICROS_A_TOKEN / len(candidates) - QUIET_BACKLOG_MICROS
+        rate = self.loads.read_rates.factor(service.name)
+        excess_micros = rate * waiting_tokens * MICROS_A_TOKEN / len(candidates) - QUIET_BACKLOG_MICROS
         if excess_micros <= 0:
             return frozenset(), 0.0
         names = _by_rendezvous(f"quiet/{service.name}", candidates)[: round(len(candidates) * QUIET_SHARE)]
@@ -291,7 +290,8 @@
                 continue
             move_micros = tokens * service.token_bytes * 8 / min(mbps, service.link_mbps or mbps)
             move_micros = move_micros * (1 if zone == backend.zone else 2) + FETCH_FIXED_MICROS
-            gain = READ_AGAIN_WEIGHT * read_micros(tokens, kept) - move_micros
+            rate = self.loads.read_rates.factor(service.name)
+            gain = READ_AGAIN_WEIGHT * rate * read_micros(tokens, kept) - move_micros
             if gain > best_gain:
                 best, best_gain = (address, tokens, move_micros), gain
         return best
@@ -320,11 +320,6 @@
             self.expected = {key: until for key, until in self.expected.items() if until > now_micros}
 
 
-def read_micros(tokens: int, kept_tokens: int) -> float:
-    """How long a worker reads so many tokens behind those that it keeps, with nothing else to read."""
-    return tokens * (MICROS_A_TOKEN + MICROS_A_PAIR * (kept_tokens + tokens / 2))
-
-
 def _shortage_micros(service: Service, held_tokens: int) -> float:
     """What it costs to ask a worker for more than its memory; more of it the more is asked."""
     room = service.cache_tokens * MEMORY_SHARE
--- /dev/null
+++ b/src/pearhead/router/read_rate.py
@@ -0,0 +1,74 @@
+"""ReadRates (§8.8): how long workers take to read prompts, by a reckoning and what was seen of late."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from pearhead.runtime.clock import MILLI, SECOND, Clock
+
+# Reading: a token with its share of the batch's step, and each pair of a token read with one before it. These are
+# starting values for engines of which nothing was seen yet.
+MICROS_A_TOKEN = 19.7
+MICROS_A_PAIR = 0.000_324
+# From the end of the read to the first event.
+FIRST_MICROS = 12 * MILLI
+# Shorter reads are lost in the time of the steps around them.
+LEAST_TOKENS = 1_000
+HALF_WINDOW_MICROS = 5 * SECOND
+LEAST_READS = 4
+LEAST_FACTOR, MOST_FACTOR = 0.05, 4.0
+# While a fleet is overloaded no read is without a wait: the factor rises slowly, and falls at once.
+MOST_RISE = 1.1
+
+
+def read_micros(tokens: int, kept_tokens: int) -> float:
+    """How long a worker reads so many tokens behind those that it keeps, by the starting values."""
+    return tokens * (MICROS_A_TOKEN + MICROS_A_PAIR * (kept_tokens + tokens / 2))
+
+
+@dataclass
+class _HalfWindow:
+    """The quickest of `count` reads, as a factor of the reckoning."""
+
+    least: float = math.inf
+    count: int = 0
+
+
+@dataclass
+class _Seen:
+    began_micros: int
+    factor: float = 1.0
+    former: _HalfWindow = field(default_factory=_HalfWindow)
+    current: _HalfWindow = field(default_factory=_HalfWindow)
+
+
+class ReadRates:
+    """Factors of `read_micros`, by service.
+
+    The quickest of some reads waited for no other, so it shows how fast the engine is; a mean would show how busy.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.seen: dict[str, _Seen] = {}
+
+    def factor(self, service: str) -> float:
+        """1 until enough was seen."""
+        seen = self.seen.get(service)
+        return 1.0 if seen is None else seen.factor
+
+    def take(self, service: str, tokens: int, kept_tokens: int, seen_micros: int) -> None:
+        """A worker read so many tokens behind those that it kept; its first event came after `seen_micros`."""
+        if tokens < LEAST_TOKENS:
+            return
+        now_micros = self.clock.now()
+        seen = self.seen.setdefault(service, _Seen(now_micros))
+        if now_micros - seen.began_micros > HALF_WINDOW_MICROS:
+            seen.former, seen.current, seen.began_micros = seen.current, _HalfWindow(), now_micros
+        ratio = max(seen_micros - FIRST_MICROS, 0) / read_micros(tokens, kept_tokens)
+        seen.current.least = min(seen.current.least, ratio)
+        seen.current.count += 1
+        if seen.former.count + seen.current.count >= LEAST_READS:
+            least = min(seen.former.least, seen.current.least)
+            seen.factor = min(max(least, LEAST_FACTOR), MOST_FACTOR, seen.factor * MOST_RISE)
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -13,7 +13,8 @@
 from pearhead.router.load_book import LoadBook
 from pearhead.router.opaque import OpaqueRequest, PromptPart
 from pearhead.router.part_salt import SaltText
-from pearhead.router.placer import Choice, Placer, read_micros
+from pearhead.router.placer import Choice, Placer
+from pearhead.router.read_rate import read_micros
 from pearhead.router.roster_merge import Roster
 from pearhead.router.version_book import VersionBook
 from pearhead.router.worker_control import Backend
