Placing: where word of others is late, a long part has four workers and its keepers

Cause: in a large fleet what others have at workers is some 0.3 s old, and all nodes looked at all workers: those whose first homes were busier all chose the same idle one. Ruled out: one home only (no way round a busy one), chance (each long part would be read at many workers).

--- a/src/pearhead/router/gateway.py
+++ b/src/pearhead/router/gateway.py
@@ -163,6 +163,7 @@
             PartSalt(self.listener),
             self.weights.may_use,
             self._sample,
+            self.relay.is_active,
         )
         budget = FleetBudget(clock, settings.retry_ratio, settings.retry_slack, settings.retry_window_micros)
         self.reads = ReadBook(clock, self.placer.expect, self._tell_read)
--- a/src/pearhead/router/placer.py
+++ b/src/pearhead/router/placer.py
@@ -35,6 +35,8 @@
 EXPECTED_MICROS = SECOND
 EXPECTED_LIMIT = 4_000
 LONG_TOKENS = 1_000
+# So many workers may read a long part that nobody keeps, where the word of what others are busy with is late.
+HOME_COUNT = 4
 AFFINITY_SHARE = 0.5
 # Where all have long prompts to read, short ones would wait behind them: these workers are spared as far as that goes.
 QUIET_SHARE = 0.4
@@ -71,6 +73,7 @@
         salts: PartSalt,
         may_use: Callable[[View, str, int], bool],
         sample: Callable[[list[Backend]], list[Backend]] = list,
+        is_word_late: Callable[[], bool] = lambda: False,
     ) -> None:
         self.clock = clock
         self.zone = zone
@@ -81,6 +84,7 @@
         self.salts = salts
         self.may_use = may_use
         self.sample = sample
+        self.is_word_late = is_word_late
         self.expected: dict[tuple[str, str, str], int] = {}
 
     def choose(
@@ -142,6 +146,8 @@
             return self._choose_plain(candidates, service)
         if request.prompt_tokens() < LONG_TOKENS:
             candidates = self.sample(candidates)
+        elif self.is_word_late():
+            candidates = self._homes_and_keepers(view, candidates, tenant, line, request)
         salts = {
             version: self.salts.salt(view, tenant, line, version, request.parts)
             for version in {self.versions.version_of(b.name, line) for b in candidates}
@@ -163,6 +169,23 @@
         choice = min(choices, key=lambda item: item[:2])[2]
         return choice
 
+    def _homes_and_keepers(
+        self, view: View, candidates: list[Backend], tenant: Tenant | None, line: str, request: OpaqueRequest
+    ) -> list[Backend]:
+        """The first few by rendezvous over the first part, and who keeps it.
+
+        Nodes whose word of all workers is late would all choose the one that was idle then. With a few choices for each
+        part they spread by the parts, and each still passes by those of its workers that are busy.
+        """
+        if not request.parts:
+            return candidates
+        first = request.parts[0].part
+        chosen = set(_by_rendezvous(first, candidates)[:HOME_COUNT])
+        for version in {self.versions.version_of(backend.name, line) for backend in candidates} - {None}:
+            assert version is not None
+            chosen |= self.index.keepers_of(self.salts.salt(view, tenant, line, version, request.parts).text, first)
+        return [backend for backend in candidates if backend.name in chosen]
+
     def _is_usable(self, view: View, backend: Backend, line: str) -> bool:
         version = self.versions.version_of(backend.name, line)
         return version is not None and not self.versions.is_loading(backend.name) and self.may_use(view, line, version)
