--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -188,6 +188,36 @@
             with self.subTest(seed=seed):
                 run_cores(5, seed, play)
 
+    def test_disks_lost_at_the_end_of_a_day_while_every_machine_loses_power(self) -> None:
+        """Right after an acknowledgement; the front nodes too, so nobody is left who knows any core by its identity."""
+        for core_count, lost_count in ((3, 1), (5, 2)):
+            for seed in range(3):
+
+                async def play(fleet: SimFleet, lost_count: int = lost_count) -> None:
+                    names = await self.found(fleet)
+                    nodes = [name for name in fleet.startups if name.startswith("node-")]
+                    for name in nodes:
+                        fleet.start(name)
+                    await pause(fleet.world, 2 * SECOND)
+                    await self.apply(fleet, "a", 2.0)
+                    await self.apply(fleet, "b", 2.0)
+                    for name in names + nodes:
+                        fleet.kill(name, loses_power=True)
+                    for name in fleet.world.chance.sample(names, lost_count):
+                        fleet.world.machine(name).disk.empty()
+                    machines = fleet.world.chance.sample(names + nodes, len(names + nodes))
+                    for name in machines:
+                        fleet.start(name)
+                        await pause(fleet.world, SECOND // len(machines))
+                    self.assertLess(await seconds_until(fleet, lambda: all_agree(fleet, names)), 4.0)
+                    self.assertEqual(len(fleet.cores[names[0]].fleet.history), 2)
+                    await self.apply(fleet, "c", 4.0)
+                    served = await seconds_until(fleet, lambda: all(fleet.nodes[n].keeper.is_current() for n in nodes))
+                    self.assertLess(served, 4.0, "nodes know what is in force")
+
+                with self.subTest(cores=core_count, seed=seed):
+                    run_cores(core_count, seed, play)
+
     def test_cores_move_to_new_addresses_one_by_one(self) -> None:
         """The old one vanishes before or after the new one came, or never started again."""
         for seed in range(4):
