Tests: what the quickest reads teach, and where long parts go while word is late

For ReadRates and the homes of long parts: waits teach nothing, bounds and slow rises, homes are passed by when busy, keepers that are no homes are chosen, a quick engine's backlog spares no worker.

--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -14,7 +14,7 @@
 from pearhead.router.opaque import OpaqueRequest, PromptPart
 from pearhead.router.part_salt import SaltText
 from pearhead.router.placer import Choice, Placer
-from pearhead.router.read_rate import read_micros
+from pearhead.router.read_rate import FIRST_MICROS, read_micros
 from pearhead.router.roster_merge import Roster
 from pearhead.router.version_book import VersionBook
 from pearhead.router.worker_control import Backend
@@ -139,6 +139,40 @@
         self.store.__dict__["link_mbps"] = 20_000.0
         self.assertEqual(self.choose(9_000, 500).fetch_from, "", "three times as long as reading")
 
+    def test_where_word_of_others_is_late_each_long_part_has_a_few_workers(self) -> None:
+        """One worker that seems idle is not chosen by all nodes at once; a busy home is still passed by."""
+        for name in self.others_than("w3"):
+            self.loads.begin(name, 12_000, 12_000)
+        self.assertEqual({self.choose(9_000, 500, name=f"a{n}-").backend.name for n in range(60)}, {"w3"})
+        self.placer.is_word_late = lambda: True
+        chosen = {self.choose(9_000, 500, name=f"a{n}-").backend.name for n in range(60)}
+        self.assertGreater(len(chosen), 3)
+        home = self.choose(9_000, 500, name="b").backend.name
+        self.loads.begin(home, 90_000, 90_000)
+        self.assertNotEqual(self.choose(9_000, 500, name="b").backend.name, home)
+
+    def test_where_word_of_others_is_late_a_keeper_that_is_no_home_is_chosen_all_the_same(self) -> None:
+        self.placer.is_word_late = lambda: True
+        homes = set()
+        for _ in range(4):
+            homes.add(home := self.choose(9_000, 500, name="c").backend.name)
+            self.loads.begin(home, 90_000, 90_000)
+        self.loads.own.clear()
+        self.loads.totals_until = 0
+        keeper = min(set(self.backends) - homes)
+        self.keep(keeper, 9_000, name="c")
+        self.assertEqual(self.choose(9_000, 500, name="c").backend.name, keeper)
+
+    def test_what_was_seen_of_an_engine_scales_all_that_is_reckoned_of_it(self) -> None:
+        expected_micros = self.choose(9_000, 500).expected_micros
+        for _ in range(4):
+            self.loads.read_rates.take("s", 9_500, 0, round(0.25 * read_micros(9_500, 0)) + FIRST_MICROS)
+        self.assertAlmostEqual(self.choose(9_000, 500).expected_micros, expected_micros / 4, delta=12 * MILLI)
+        for name in self.backends:
+            self.loads.begin(name, 20_000, 20_000)
+        chosen = {self.choose(9_000, 500, name=f"m{n}-").backend.name for n in range(200)}
+        self.assertEqual(len(chosen), 6, "it is read soon: no worker is spared")
+
     def test_the_reckoning_does_not_hold_the_pace_that_it_teaches(self) -> None:
         choice = self.choose(9_000, 500)
         self.assertAlmostEqual(choice.expected_micros, read_micros(9_500, 0) + 12 * MILLI, delta=MILLI)
--- /dev/null
+++ b/tests/test_read_rate.py
@@ -0,0 +1,61 @@
+"""ReadRates: what the quickest reads of late say of a service's engines."""
+
+from __future__ import annotations
+
+import unittest
+
+from pearhead.router.read_rate import FIRST_MICROS, HALF_WINDOW_MICROS, LEAST_READS, ReadRates, read_micros
+from pearhead.runtime.bench import Bench
+from pearhead.runtime.clock import MILLI, SECOND
+
+TOKENS = 10_000
+
+
+class ReadRatesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.rates = ReadRates(self.bench)
+
+    def read(self, factor: float, waited_micros: int = 0, count: int = 1, tokens: int = TOKENS) -> None:
+        for _ in range(count):
+            seen_micros = FIRST_MICROS + round(factor * read_micros(tokens, 0)) + waited_micros
+            self.rates.take("s", tokens, 0, seen_micros)
+
+    def test_the_starting_values_count_until_enough_was_seen(self) -> None:
+        self.read(0.4, count=LEAST_READS - 1)
+        self.assertEqual(self.rates.factor("s"), 1.0)
+        self.read(0.4)
+        self.assertAlmostEqual(self.rates.factor("s"), 0.4, places=3)
+        self.assertEqual(self.rates.factor("another"), 1.0)
+
+    def test_waits_behind_others_do_not_count_as_reading(self) -> None:
+        for waited_millis in (900, 300, 0, 500, 1_200):
+            self.read(0.5, waited_millis * MILLI)
+        self.assertAlmostEqual(self.rates.factor("s"), 0.5, places=3)
+
+    def test_short_reads_teach_nothing(self) -> None:
+        self.read(0.1, count=50, tokens=900)
+        self.assertEqual(self.rates.factor("s"), 1.0)
+
+    def test_it_rises_slowly_while_all_reads_wait_and_falls_at_once(self) -> None:
+        self.read(0.4, count=LEAST_READS)
+        for _ in range(2):
+            self.bench.now_micros += HALF_WINDOW_MICROS + 1
+            self.read(0.4, SECOND, count=2)
+        self.assertLess(self.rates.factor("s"), 0.4 * 1.1**4 + 0.001)
+        self.assertGreater(self.rates.factor("s"), 0.4)
+        self.read(0.4)
+        self.assertAlmostEqual(self.rates.factor("s"), 0.4, places=3)
+
+    def test_no_figure_leads_out_of_its_bounds(self) -> None:
+        self.rates.take("s", TOKENS, 0, 0)
+        self.read(0.0, count=LEAST_READS)
+        self.assertEqual(self.rates.factor("s"), 0.05)
+        for _ in range(200):
+            self.bench.now_micros += HALF_WINDOW_MICROS + 1
+            self.read(90.0, count=LEAST_READS)
+        self.assertEqual(self.rates.factor("s"), 4.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
