Placing: the workers that long prompts spare are the same whichever a node looks at

Found on reading the change again: with four homes to look at, four tenths of those were spared instead of four tenths of all, so nodes spared different workers. They are drawn from all candidates before the homes are.

--- a/src/pearhead/router/placer.py
+++ b/src/pearhead/router/placer.py
@@ -144,6 +144,8 @@
             return None
         if not line:
             return self._choose_plain(candidates, service)
+        # Nodes spare the same workers, whichever each of them looks at.
+        quiet, quiet_micros = self._quiet_workers(service, candidates, request)
         if request.prompt_tokens() < LONG_TOKENS:
             candidates = self.sample(candidates)
         elif self.is_word_late():
@@ -157,7 +159,6 @@
             version: self._kept_anywhere(salt.text, request, candidates) for version, salt in salts.items()
         }
         home_order = _home_order(request, candidates)
-        quiet, quiet_micros = self._quiet_workers(service, candidates, request)
         choices = []
         for backend in candidates:
             cost, choice = self._choice(
@@ -166,8 +167,7 @@
             if backend.name in quiet and choice.missing_tokens >= LONG_TOKENS:
                 cost += quiet_micros
             choices.append((cost, backend.name, choice))
-        choice = min(choices, key=lambda item: item[:2])[2]
-        return choice
+        return min(choices, key=lambda item: item[:2])[2]
 
     def _homes_and_keepers(
         self, view: View, candidates: list[Backend], tenant: Tenant | None, line: str, request: OpaqueRequest
