Placing: a caller that has a part of its answer goes on with the newest weights

Cause, shown on untouched code: a caller whose answer is cut resumes at another node, which placed it on whatever worker was best. Ruled out: telling the second node the version (callers send none), refusing older weights for them outright (before most workers are loaded that would fail sound requests), a wait (nothing says that the newest will come). Change: of the workers that can run a request with a Last-Event-Id, those on the newest weights are looked at, others where there is none.

--- a/src/pearhead/router/placer.py
+++ b/src/pearhead/router/placer.py
@@ -144,6 +144,8 @@
             return None
         if not line:
             return self._choose_plain(candidates, service)
+        if request.last_event_id:
+            candidates = self._on_newest_weights(candidates, line)
         # Nodes spare the same workers, whichever each of them looks at.
         quiet, quiet_micros = self._quiet_workers(service, candidates, request)
         if request.prompt_tokens() < LONG_TOKENS:
@@ -169,6 +171,13 @@
             choices.append((cost, backend.name, choice))
         return min(choices, key=lambda item: item[:2])[2]
 
+    def _on_newest_weights(self, candidates: list[Backend], line: str) -> list[Backend]:
+        """For a caller that has a part of its answer, perhaps from another node: which weights made that part is not
+        told, and no later part should be made by older ones."""
+        versions = {backend.name: self.versions.version_of(backend.name, line) or 0 for backend in candidates}
+        newest = max(versions.values())
+        return [backend for backend in candidates if versions[backend.name] == newest]
+
     def _homes_and_keepers(
         self, view: View, candidates: list[Backend], tenant: Tenant | None, line: str, request: OpaqueRequest
     ) -> list[Backend]:
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -56,7 +56,7 @@
         self.view = View()
         self.view.__dict__["description"] = Description(services=[self.service, self.store], routes=[ROUTE])
 
-    def request(self, *tokens: int, name: str = "p") -> OpaqueRequest:
+    def request(self, *tokens: int, name: str = "p", last_event_id: str = "") -> OpaqueRequest:
         parts = tuple(PromptPart(f"{name}{place}", count) for place, count in enumerate(tokens))
         return OpaqueRequest(
             "id",
@@ -70,10 +70,12 @@
             line="l",
             parts=parts,
             output_tokens=100,
+            last_event_id=last_event_id,
         )
 
-    def choose(self, *tokens: int, name: str = "p") -> Choice:
-        return self.placer.choose(self.view, ROUTE, self.request(*tokens, name=name), None, frozenset()).unwrap()
+    def choose(self, *tokens: int, name: str = "p", last_event_id: str = "") -> Choice:
+        request = self.request(*tokens, name=name, last_event_id=last_event_id)
+        return self.placer.choose(self.view, ROUTE, request, None, frozenset()).unwrap()
 
     def keep(self, keeper: str, *tokens: int, name: str = "p") -> None:
         self.index.take(
@@ -139,6 +141,20 @@
         self.store.__dict__["link_mbps"] = 20_000.0
         self.assertEqual(self.choose(9_000, 500).fetch_from, "", "three times as long as reading")
 
+    def test_a_caller_that_has_a_part_of_its_answer_goes_on_with_the_newest_weights(self) -> None:
+        """Another node may have given it that part by them, long before most workers have them."""
+        for newest in ("w4", "w2"):
+            self.placer.versions.note(newest, "l", 2)
+            self.loads.begin(newest, 50_000, 50_000)
+        for tokens in ((50, 200), (9_000, 500)):
+            self.assertEqual(self.choose(*tokens).version, 1, "the others are idle")
+            resumed = self.choose(*tokens, last_event_id="3")
+            self.assertEqual(resumed.version, 2)
+            self.assertIn(resumed.backend.name, ("w2", "w4"))
+        self.loads.take_fault("w2")
+        self.loads.take_fault("w4")
+        self.assertEqual(self.choose(50, 200, last_event_id="3").version, 1, "none of them can be asked")
+
     def test_where_word_of_others_is_late_each_long_part_has_a_few_workers(self) -> None:
         """One worker that seems idle is not chosen by all nodes at once; a busy home is still passed by."""
         for name in self.others_than("w3"):
