Roll-outs: the workers on the oldest weights are loaded first

Ruled out: a second third of the workers at once (the room is what keeps a fleet serving), skipping a naming (it was acknowledged). Change: the order is by failures, then by the version that a worker has, the oldest first. Before and after, the new test: the first three orders of the second naming went to workers loaded just before; to none of them. What is left are answers whose newest worker rests after a fault: they go on by older weights rather than not.

--- a/src/pearhead/router/roll_out.py
+++ b/src/pearhead/router/roll_out.py
@@ -218,8 +218,9 @@
         room = len(workers) if is_late else max(1, len(workers) // 3)
         busy = {key[1] for key in self.loads if key[0] == line}
         busy |= {b.name for b in workers if self.book.is_loading(b.name)}
-        # One that failed does not keep others from their turn.
-        for backend in sorted(pending, key=lambda b: self.failure_counts.get(b.name, 0)):
+        # One that failed does not keep others from their turn. While several versions are about, the oldest goes first:
+        # requests that were served by newer ones would go back to it.
+        for backend in sorted(pending, key=lambda b: self._turn_of(b, line)):
             if len(busy) >= room:
                 return
             if backend.name in busy or backend.name in self.again_micros:
@@ -227,6 +228,9 @@
             busy.add(backend.name)
             self.loads[line, backend.name] = self.crew.start(self._load(line, backend, state.wanted))
 
+    def _turn_of(self, backend: Backend, line: str) -> tuple[int, int]:
+        return self.failure_counts.get(backend.name, 0), self.book.version_of(backend.name, line) or 0
+
     # ---- one worker ------------------------------------------------------------------------------
 
     async def _load(self, line: str, backend: Backend, wanted: int) -> None:
--- a/tests/test_roll_out.py
+++ b/tests/test_roll_out.py
@@ -208,6 +208,23 @@
 
         run_fleet(5, 6, play)
 
+    def test_the_oldest_weights_are_replaced_first(self) -> None:
+        """Named twice in a row: a worker of the first naming is not loaded again before one that has neither."""
+
+        async def play(fleet: WorkerFleet) -> None:
+            fleet.core.name(2)
+            await pause(fleet.world, 900 * MILLI)
+            fleet.core.name(3)
+            await pause(fleet.world, 9 * SECOND)
+            self.assertEqual(set(versions(fleet)), {3})
+            loaded_before = {o.worker for o in fleet.platform.orders if o.version == 2}
+            self.assertIn(len(loaded_before), range(1, 9), "some have the first naming, some not")
+            again = [o.worker in loaded_before for o in fleet.platform.orders if o.version == 3]
+            self.assertEqual(again, sorted(again), "first those that were not loaded before")
+
+        for seed in range(1, 4):
+            run_fleet(5, 9, play, seed)
+
     def test_the_next_takes_over_what_another_left(self) -> None:
         async def play(fleet: WorkerFleet) -> None:
             orderer = orderer_of(fleet)
