Acks: text that UTF-8 can't represent is refused, and escaped where it is stored

Cause: JSON's escape becomes a string that has no bytes in UTF-8. It passed translation and check, went into the log, and CoreProcess.apply raised UnicodeEncodeError as it hashed the name for its invalidation channel. The applied index stayed, so each later commit met the entry again on every core. Evidence: the traceback from Applier.commit_to in the logs of all three cores, 31 and 33 times on two of them within seconds; the same in a test with one core and a real sequencer.

An item of an earlier release is read back as it was sent, and can be removed by its name. Answers and what is read back are valid UTF-8. A naming of weights with such a model is answered (before: 500 for ever).

Ruled out: surrogatepass at each hash (protobuf fields fail all the same); U+FFFD (two names become one); refusing at the edge alone (logs hold it, and a repeat of a taken order must be acknowledged).

--- a/src/pearhead/config/description.py
+++ b/src/pearhead/config/description.py
@@ -11,11 +11,13 @@
 
 from pearhead.config.dataclass_parser import parse_dataclass
 from pearhead.runtime.clock import SECOND
+from pearhead.runtime.text import find_unencodable, may_hold_surrogates
 
 MAX_DESCRIPTION_BYTES = 8 * 1024 * 1024
 MAX_CHANGE_BYTES = 15 * 1024 * 1024
 ANY_TENANT = "*"
 CHUNK_SIZE = 200
+UNENCODABLE_TEXT_FAULT = "holds an unpaired surrogate, so it can't be encoded as UTF-8"
 
 
 @dataclass(frozen=True)
@@ -209,6 +211,9 @@
         return Err([f"file: not JSON: {error}"])
     except RecursionError:
         return Err(["file: nested too deep"])
+    unencodable_paths = list(find_unencodable(data, "")) if may_hold_surrogates(description_bytes) else []
+    if unencodable_paths:
+        return Err([f"{path}: {UNENCODABLE_TEXT_FAULT}" for path in unencodable_paths])
     return Ok(data)
 
 
--- a/src/pearhead/config/startup.py
+++ b/src/pearhead/config/startup.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import hmac
-import json
 import sys
 import tomllib
 from dataclasses import dataclass, field
@@ -15,6 +14,7 @@
 
 from pearhead.config.dataclass_parser import parse_dataclass
 from pearhead.runtime.clock import SECOND
+from pearhead.runtime.text import load_json
 
 
 @dataclass(frozen=True)
@@ -88,7 +88,7 @@
     if file_path:
         try:
             file_text = Path(file_path).read_text(encoding="utf-8")
-            data = json.loads(file_text) if file_path.endswith(".json") else tomllib.loads(file_text)
+            data = load_json(file_text.encode()) if file_path.endswith(".json") else tomllib.loads(file_text)
         except (OSError, ValueError) as error:
             return Err([f"{file_path}: {error}"])
         if not isinstance(data, dict):
--- a/src/pearhead/config/view.py
+++ b/src/pearhead/config/view.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from functools import cached_property
@@ -20,6 +19,7 @@
     normalize_host,
 )
 from pearhead.rpc.wire_pb2 import Section, ViewDelta
+from pearhead.runtime.text import load_json
 
 BUCKET_COUNT = 64
 ENTRY_SECTIONS = tuple(f"entries-{bucket:02d}" for bucket in range(BUCKET_COUNT))
@@ -113,7 +113,7 @@
         return hash_sections(self.sections, self._digests)
 
     def _section(self, name: str) -> Any:
-        return json.loads(self.sections[name][1])
+        return load_json(self.sections[name][1])
 
     @cached_property
     def description_revision(self) -> int:
@@ -144,7 +144,7 @@
             _, body = self.sections.get(name, (0, EMPTY_SECTION_BODY))
             cached_body, routes = self._parsed_routes.get(name, (EMPTY_SECTION_BODY, []))
             if cached_body is not body and body != EMPTY_SECTION_BODY:
-                routes = description_from_checked_data({"routes": json.loads(body)}).routes
+                routes = description_from_checked_data({"routes": load_json(body)}).routes
                 self._parsed_routes[name] = (body, routes)
             all_routes.extend(routes if body != EMPTY_SECTION_BODY else [])
         return all_routes
--- a/src/pearhead/control_plane/core_process.py
+++ b/src/pearhead/control_plane/core_process.py
@@ -18,7 +18,7 @@
 from pearhead.consensus.raft import RaftMember
 from pearhead.consensus.snapshot_store import SnapshotLimits
 from pearhead.consensus.wal import Wal
-from pearhead.control_plane.description_change import ChangeChecker, decode_route, hash_change, to_json
+from pearhead.control_plane.description_change import ChangeChecker, decode_route, encodable_route, hash_change, to_json
 from pearhead.control_plane.fleet_state import FleetState, UnknownCommandError, encode_canonical_json
 from pearhead.control_plane.membership_controller import MembershipController
 from pearhead.control_plane.view_service import ViewService
@@ -41,6 +41,7 @@
 from pearhead.runtime.clock import MILLI, SECOND, Clock, sleep_for
 from pearhead.runtime.disk import Disk
 from pearhead.runtime.net import Net
+from pearhead.runtime.text import load_json
 
 LOGGER = logging.getLogger("pearhead")
 COMMAND_TIMEOUT_MICROS = 5 * SECOND
@@ -480,9 +481,10 @@
         result = await self.fetch_description()
         if result is None:
             return None
-        description = json.loads(result.document)
+        # The leader may run an earlier release, which stored unpaired surrogates.
+        description = load_json(result.document)
         if result.route:
-            description["routes"] = [decode_route(item.shown, item.source) for item in result.route]
+            description["routes"] = [decode_route(*encodable_route(item.shown, item.source)) for item in result.route]
         return {"number": result.number, "description": description}
 
     async def fetch_description(self) -> DescriptionResult | None:
--- a/src/pearhead/control_plane/description_change.py
+++ b/src/pearhead/control_plane/description_change.py
@@ -19,6 +19,7 @@
 from pearhead.config.description import (
     CHUNK_SIZE,
     MAX_CHANGE_BYTES,
+    UNENCODABLE_TEXT_FAULT,
     CapabilityEntry,
     Description,
     Limits,
@@ -32,6 +33,12 @@
     find_description_errors,
 )
 from pearhead.rpc.wire_pb2 import ChangeDescription, Item
+from pearhead.runtime.text import (
+    escape_surrogate_bytes,
+    find_unencodable,
+    load_json,
+    may_hold_surrogates,
+)
 
 MERGED_ITEM_KINDS = ("services", "tenants")
 INITIAL_WEIGHTS = "1"
@@ -79,6 +86,11 @@
     return Item(name=item["name"], shown=to_json(shown), source=item.get("source", "").encode("utf-8", "surrogatepass"))
 
 
+def encodable_route(shown: bytes, source: bytes) -> tuple[bytes, bytes]:
+    """An encoded route and its source, without unpaired surrogates, which an earlier release may have stored."""
+    return (to_json(load_json(shown)) if may_hold_surrogates(shown) else shown, escape_surrogate_bytes(source))
+
+
 def decode_route(shown: bytes, source: bytes) -> Json:
     """The route as the operator gave it, with its source if it has one."""
     route: Json = json.loads(shown)
@@ -135,7 +147,7 @@
         for name in document.get("remove", {}).get("routes", []):
             merged.pop(name, None)
     for item in change.route:
-        merged[item.name] = (item.shown, item.source)
+        merged[item.name] = encodable_route(item.shown, item.source)
     return merged
 
 
@@ -201,9 +213,10 @@
         except (ValueError, RecursionError) as fault:
             return Err([f"document: can't be read: {type(fault).__name__}"])
         await self.yield_to_loop()
-        faults = self._find_schema_errors(document, change.by_name)
+        faults = _find_text_errors(change, document) or self._find_schema_errors(document, change.by_name)
         if faults:
             return Err(faults)
+        document = load_json(change.document)
         try:
             extract_routes(change, document)
         except (KeyError, TypeError, ValueError, AttributeError):
@@ -259,5 +272,31 @@
         return faults
 
 
+def _find_text_errors(change: ChangeDescription, document: Any) -> list[str]:
+    """Text of a change that UTF-8 can't represent, each with its path.
+
+    Names to remove are not checked: they are in no item, and one that an earlier release stored can be removed.
+    """
+    paths: list[str] = []
+    if may_hold_surrogates(change.document):
+        checked = document
+        if change.by_name and isinstance(document, dict):
+            checked = {name: value for name, value in document.items() if name != "remove"}
+        paths.extend(find_unencodable(checked, ""))
+    for position, item in enumerate(change.route):
+        if escape_surrogate_bytes(item.source) != item.source:
+            paths.append(f"routes[{position}].source")
+        if may_hold_surrogates(item.shown):
+            paths.extend(find_unencodable(_load_or_none(item.shown), f"routes[{position}]"))
+    return [f"{path}: {UNENCODABLE_TEXT_FAULT}" for path in paths]
+
+
+def _load_or_none(shown: bytes) -> Any:
+    try:
+        return json.loads(shown)
+    except (ValueError, RecursionError):
+        return None
+
+
 def _find_duplicates(names: list[str]) -> list[str]:
     return [name for name, count in Counter(names).items() if count > 1]
--- a/src/pearhead/control_plane/fleet_state.py
+++ b/src/pearhead/control_plane/fleet_state.py
@@ -1,6 +1,7 @@
 """The replicated state of the fleet (§4.2); it uses neither a clock nor random numbers, so all cores compute the same.
 
-Outcomes, snapshots and the keys in them are stored or sent as they are written here.
+Outcomes, snapshots and the keys in them are stored or sent as they are written here. The state holds no unpaired
+surrogates: those in entries and snapshots of an earlier release are escaped as they are read (§5.4).
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
     EncodedRoutes,
     Json,
     decode_route,
+    encodable_route,
     encode_route,
     extract_routes,
     hash_change,
@@ -44,6 +46,7 @@
     TakeHold,
     ViewDelta,
 )
+from pearhead.runtime.text import load_json, may_hold_surrogates
 
 TRANSACTION_LIMIT = 65_536
 HISTORY_LIMIT = 256
@@ -179,7 +182,7 @@
         has_magic = snapshot_bytes.startswith(SNAPSHOT_MAGIC)
         end = start + int.from_bytes(snapshot_bytes[len(SNAPSHOT_MAGIC) : start], "big")
         # An earlier release wrote only the head, without magic bytes, description numbers and routes.
-        data = json.loads(snapshot_bytes[start:end] if has_magic else snapshot_bytes)
+        data = load_json(snapshot_bytes[start:end] if has_magic else snapshot_bytes)
         for key, name in SNAPSHOT_FIELDS.items():
             setattr(self, name, data.get(key, 0))
         self.parts = {volume: {part: revision for part, revision in pairs} for volume, pairs in data["parts"].items()}
@@ -192,10 +195,11 @@
         for name, shown_size, source_size in data.get("routes", []):
             shown = snapshot_bytes[end : end + shown_size]
             end += shown_size + source_size
-            self.routes[name] = (shown, snapshot_bytes[end - source_size : end])
+            self.routes[name] = encodable_route(shown, snapshot_bytes[end - source_size : end])
         self.sections = {name: (0, EMPTY_SECTION_BODY) for name in SECTION_NAMES}
         self.sections.update(
-            (name, (index, base64.b64decode(body))) for name, (index, body) in data["sections"].items()
+            (name, (index, _encodable_section(base64.b64decode(body))))
+            for name, (index, body) in data["sections"].items()
         )
         for name, body in self._route_bodies().items():
             self.sections[name] = (self.sections[name][0], body or EMPTY_SECTION_BODY)
@@ -243,7 +247,7 @@
         if command.base_revision != self.description_revision:
             return {"status": "conflict", "revision": self.description_revision}
         # The leader checked the description before it proposed the command (§4.2).
-        self.description = json.loads(command.description)
+        self.description = load_json(command.description)
         items = [encode_route(route) for route in self.description.pop("routes", [])]
         self.routes = {item.name: (item.shown, item.source) for item in items}
         self.description_revision = index
@@ -270,7 +274,7 @@
             return {"status": "conflict", "number": self.description_number}
         if command.number <= self.description_number:
             return {"status": "refused", "faults": [f"number: must be above {self.description_number}"]}
-        document = json.loads(command.document)
+        document = load_json(command.document)
         extract_routes(command, document)
         self.routes = merge_routes(self.routes, command, document)
         self.description = merge_document(self.description, document, command.by_name)
@@ -417,5 +421,10 @@
             self.sections[name] = (index, body)
 
 
+def _encodable_section(body: bytes) -> bytes:
+    """The body of a section, without unpaired surrogates, which an earlier release may have stored in it."""
+    return encode_canonical_json(load_json(body)) if may_hold_surrogates(body) else body
+
+
 def _is_not_newer_version(weights: str, present: str) -> bool:
     return weights.isdecimal() and present.isdecimal() and int(weights) <= int(present)
--- a/src/pearhead/control_plane/operator_api.py
+++ b/src/pearhead/control_plane/operator_api.py
@@ -13,6 +13,7 @@
 from pearhead.control_plane.description_change import to_json
 from pearhead.rpc.wire_pb2 import Command, CommandResult, Worker
 from pearhead.runtime.metrics import metrics_routes
+from pearhead.runtime.text import escape_surrogates
 
 STATUS_CODES = {"done": 200, "conflict": 409, "refused": 422, "held": 409, "unavailable": 503, "unknown": 504}
 
@@ -143,13 +144,13 @@
         data = self.read_body()
         if data is None:
             return
-        command = Command(transaction=str(data.get("applyId", "")).encode())
-        command.weights.line = str(data.get("line", ""))
-        command.weights.weights = str(data.get("weights", ""))
         try:
+            command = Command(transaction=str(data.get("applyId", "")).encode())
+            command.weights.line = escape_surrogates(str(data.get("line", "")))
+            command.weights.weights = str(data.get("weights", ""))
             command.weights.base_revision = int(data.get("base", 0))
         except (ValueError, TypeError) as fault:
-            return self.refuse(f"base: {fault}")
+            return self.refuse(f"weights: {fault}")
         await self.execute(command)
 
 
--- /dev/null
+++ b/src/pearhead/runtime/text.py
@@ -0,0 +1,80 @@
+"""Text from outside (§3.7): text that UTF-8 can't represent.
+
+JSON can escape one half of a surrogate pair alone. Python reads it as a string that UTF-8, and with it a hash, a
+Protocol Buffers field or a header, can't hold. The functions here find such text, and replace it where it is already
+stored. They neither read a clock nor fail on any string.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Iterator
+from typing import Any
+
+# Encoded text in which a string may hold a surrogate: JSON escapes, and surrogates that were encoded one by one.
+_SURROGATE_BYTES = re.compile(rb"\\u[dD][89a-fA-F]|\xed[\xa0-\xbf]")
+_ENCODED_SURROGATE = re.compile(rb"\xed[\xa0-\xbf]")
+
+
+def is_encodable(text: str) -> bool:
+    """Whether UTF-8 can represent the text, which is so unless it holds an unpaired surrogate."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def escape_surrogates(text: str) -> str:
+    r"""Replaces each unpaired surrogate by its escape, as `\ud83d`; other text is returned as it is.
+
+    Inside a string of JSON text the escape stands for the same character, so JSON text keeps its meaning.
+    """
+    return text.encode("utf-8", "backslashreplace").decode()
+
+
+def escape_surrogate_bytes(encoded: bytes) -> bytes:
+    """As `escape_surrogates`, for text whose surrogates were encoded with `surrogatepass`."""
+    if not _ENCODED_SURROGATE.search(encoded):
+        return encoded
+    return encoded.decode("utf-8", "surrogatepass").encode("utf-8", "backslashreplace")
+
+
+def may_hold_surrogates(encoded_json: bytes) -> bool:
+    """Whether a string of this JSON text may hold an unpaired surrogate; False is certain, and cheap to learn."""
+    return _SURROGATE_BYTES.search(encoded_json) is not None
+
+
+def load_json(encoded_json: bytes) -> Any:
+    """Parses JSON from a log, a snapshot or another process; unpaired surrogates are escaped in all of its strings.
+
+    Raises ValueError or RecursionError, as `json.loads` does.
+    """
+    value = json.loads(encoded_json)
+    return _escape_all(value) if may_hold_surrogates(encoded_json) else value
+
+
+def _escape_all(value: Any) -> Any:
+    if isinstance(value, str):
+        return escape_surrogates(value)
+    if isinstance(value, list):
+        return [_escape_all(item) for item in value]
+    if isinstance(value, dict):
+        return {escape_surrogates(name): _escape_all(item) for name, item in value.items()}
+    return value
+
+
+def find_unencodable(value: Any, path: str) -> Iterator[str]:
+    """Yields the path of each string in a JSON value that UTF-8 can't represent; a name of a field counts too."""
+    if isinstance(value, str) and not is_encodable(value):
+        yield path
+    elif isinstance(value, list):
+        for position, item in enumerate(value):
+            yield from find_unencodable(item, f"{path}[{position}]")
+    elif isinstance(value, dict):
+        for name, item in value.items():
+            inner_path = escape_surrogates(f"{path}.{name}" if path else name)
+            if not is_encodable(name):
+                yield inner_path
+            yield from find_unencodable(item, inner_path)
