Emulator: a worker takes what an operator named at the control plane alone

PROTOCOL: "a version that was not named gets 400"; this one was named and got its 2xx.

Change: GET /v1/version-put tells the versions that a core knows as named. A worker that gets an order for a version it doesn't know asks the emulated platform, which asks each core of the launcher's newest plan, all within 0.4 s. New workers learn the same way. What no core was told of is refused with 400 as before: NamedVersionsTest has a test for each, also with a core that doesn't answer and with none.

Ruled out: naming by every heartbeat (an order could come before it); taking every order (the check would be gone); a proxy before each core (cases start cores by the deploy file).

--- a/src/pearhead/control_plane/core_process.py
+++ b/src/pearhead/control_plane/core_process.py
@@ -507,6 +507,10 @@
             result.route.add(name=name, shown=shown, source=source)
         return result
 
+    def applied_weights(self) -> dict[str, str]:
+        """The weights that are set for each model line, as far as this core has applied the log."""
+        return {line: state["weights"] for line, state in self.fleet.weights.items()}
+
     async def read_fleet(self) -> dict[str, Any] | None:
         """The present fleet state, read on the leader after a majority confirmed it; None on other cores."""
         if not await self.raft.confirm_leadership():
--- a/src/pearhead/testbed/emulator/cloud.py
+++ b/src/pearhead/testbed/emulator/cloud.py
@@ -7,12 +7,14 @@
 
 import json
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from tornado.web import Application, RequestHandler
 
 from pearhead.runtime.clock import SECOND, Clock
 from pearhead.testbed.emulator.ledger import RecordSink, Shown
+from pearhead.testbed.emulator.named_versions import fetch_from_control_plane
 
 PAGE_SIZE = 50
 WORKER_TIMEOUT_MICROS = 4 * SECOND
@@ -135,11 +137,24 @@
 
 
 class VersionNamesHandler(CloudHandler):
-    """Announced weights versions, for operators and workers of the emulator."""
+    """Announced weights versions, for operators and workers of the emulator.
 
-    def get(self) -> None:
+    `list_control_addresses`: where operators may have announced others, to the control plane alone.
+    """
+
+    def initialize(
+        self, model: CloudModel, clock: Clock, list_control_addresses: Callable[[], list[str]] = list
+    ) -> None:
+        """Takes the shared state from the application's routes."""
+        super().initialize(model, clock)
+        self.list_control_addresses = list_control_addresses
+
+    async def get(self) -> None:
         """Answers the announced versions of each model."""
-        self.finish(dict(self.model.named_versions))
+        for model, versions in (await fetch_from_control_plane(self.list_control_addresses)).items():
+            for version in versions:
+                self.model.name_version(model, version)
+        await self.finish(dict(self.model.named_versions))
 
     def post(self) -> None:
         """Announces a version."""
@@ -148,14 +163,14 @@
         self.finish({})
 
 
-def build_cloud(model: CloudModel, clock: Clock) -> Application:
-    """Returns the cloud API's HTTP application."""
-    handler_args = {"model": model, "clock": clock}
+def build_cloud(model: CloudModel, clock: Clock, list_control_addresses: Callable[[], list[str]] = list) -> Application:
+    """Returns the cloud API's HTTP application; without addresses it asks no control plane."""
+    handler_args: dict[str, Any] = {"model": model, "clock": clock}
     return Application(
         [
             ("/workers", WorkersHandler, handler_args),
             ("/site/beat", HeartbeatHandler, handler_args),
-            ("/site/name", VersionNamesHandler, handler_args),
+            ("/site/name", VersionNamesHandler, {**handler_args, "list_control_addresses": list_control_addresses}),
         ],
         log_function=lambda handler: None,
     )
--- a/src/pearhead/testbed/emulator/engine_server.py
+++ b/src/pearhead/testbed/emulator/engine_server.py
@@ -7,6 +7,7 @@
 import random
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 from dataclasses import asdict
 from typing import Any
 
@@ -71,7 +72,7 @@
     """State that the handlers of one emulated worker share.
 
     `reader_limit`: event readers served at a time. `connection_limit`: open connections, beyond which new ones are
-    reset.
+    reset. `fetch_named_versions`: asks the platform which weights versions were announced, if set.
     """
 
     def __init__(
@@ -89,6 +90,15 @@
         self.active_readers = 0
         self.is_draining = False
         self.faults = EngineFaults()
+        self.fetch_named_versions: Callable[[], Awaitable[list[int]]] | None = None
+
+    async def learn_version(self, version: object) -> None:
+        """Asks the platform for the announced versions if an order is for one that this worker does not know."""
+        known_versions = self.driver.model.named_versions
+        if not isinstance(version, int) or version in known_versions or self.fetch_named_versions is None:
+            return
+        for named_version in await self.fetch_named_versions():
+            self.driver.model.name_version(named_version)
 
     def apply_faults(self, fields: dict[str, Any]) -> None:
         """Sets the named faults and passes them on to the engine."""
@@ -343,7 +353,9 @@
             body = json.loads(self.request.body)
         except ValueError:
             body = {}
-        self.set_status(self.context.driver.order(body if isinstance(body, dict) else {}))
+        order = body if isinstance(body, dict) else {}
+        await self.context.learn_version(order.get("Revision"))
+        self.set_status(self.context.driver.order(order))
         await self.finish()
 
 
--- a/src/pearhead/testbed/emulator/main.py
+++ b/src/pearhead/testbed/emulator/main.py
@@ -22,6 +22,7 @@
 from pearhead.testbed.emulator.engine_driver import EngineDriver, HttpPartTransfer
 from pearhead.testbed.emulator.engine_server import EngineContext, build_engine_server
 from pearhead.testbed.emulator.ledger import LedgerFile
+from pearhead.testbed.emulator.named_versions import fetch_from_cloud, read_control_addresses
 from pearhead.testbed.emulator.raw_http import send_request
 from pearhead.testbed.emulator.store import StoreContext, StoreModel, build_store
 
@@ -52,8 +53,7 @@
         The weights version is that of the previous run, or the newest announced one if there was none.
         """
         stopped = stop_event()
-        named_answer = await send_request(self.settings["cloud"], "GET", "/site/name")
-        named = (named_answer.fields() if named_answer else {}).get(self.settings["model"], [1])
+        named = await fetch_from_cloud(self.settings["cloud"], self.settings["model"]) or [1]
         version = int(self.version_path.read_text()) if self.version_path.exists() else max(named)
         context = self._build(version)
         for known_version in named:
@@ -84,7 +84,9 @@
             sink,
         )
         driver = EngineDriver(model, self.clock, HttpPartTransfer(), settings["zone"])
-        return EngineContext(driver, self.clock, self.rng, sink, settings["readers"], settings["connections"])
+        context = EngineContext(driver, self.clock, self.rng, sink, settings["readers"], settings["connections"])
+        context.fetch_named_versions = lambda: fetch_from_cloud(settings["cloud"], settings["model"])
+        return context
 
     def _save_version(self, version: int) -> None:
         """Replaces the version file atomically, as the worker may be killed at any moment."""
@@ -159,7 +161,8 @@
         sink = LedgerFile(Path(settings["ledger"]))
         model = CloudModel(settings["lag_micros"], settings["per_second"], settings["page_size"], sink)
         host_name, port_number = split_address(settings["address"])
-        HTTPServer(build_cloud(model, clock)).listen(port_number, host_name)
+        plan_path = Path(settings["plan"])
+        HTTPServer(build_cloud(model, clock, lambda: read_control_addresses(plan_path))).listen(port_number, host_name)
         await stop_event().wait()
 
 
--- a/src/pearhead/testbed/emulator/plan.py
+++ b/src/pearhead/testbed/emulator/plan.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from pearhead.testbed.deployment import Deployment
+from pearhead.testbed.launcher import PLAN_FILE
 
 CONTROL_PORT, FRONT_PORT, READINESS_PORT, WORKER_PORT = 8169, 8167, 8162, 8080
 STORE_PORT, CLOUD_PORT = 8165, 8161
@@ -348,4 +349,5 @@
         "per_second": plan.cloud_per_second,
         "page_size": plan.cloud_page_size,
         "ledger": f"{folder}/ledger/cloud.jsonl",
+        "plan": f"{folder}/{PLAN_FILE}",
     }
--- a/src/pearhead/testbed/launcher.py
+++ b/src/pearhead/testbed/launcher.py
@@ -21,6 +21,7 @@
 READY_SECONDS = 60.0
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
+PLAN_FILE = "fleet.json"
 OWN_COMMAND_MARKERS = (b"pearhead.", b"platform/run_")
 
 
@@ -59,7 +60,7 @@
 
     def __init__(self, folder: str) -> None:
         self.folder_path = Path(folder).absolute()
-        self.plan_path = self.folder_path / "fleet.json"
+        self.plan_path = self.folder_path / PLAN_FILE
         self.plan: dict[str, Any] = {}
         if self.plan_path.exists():
             self.plan = json.loads(self.plan_path.read_text())
--- a/tests/test_site_sockets.py
+++ b/tests/test_site_sockets.py
@@ -5,14 +5,17 @@
 import asyncio
 import json
 import random
+import socket
 import tempfile
 import unittest
 from collections.abc import Coroutine
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
 
 from pearhead.runtime.clock import SECOND, BootClock
 from pearhead.testbed.deployment import ACADEMY
@@ -23,6 +26,7 @@
 from pearhead.testbed.emulator.engine_server import EngineContext, build_engine_server
 from pearhead.testbed.emulator.launcher import SiteLauncher
 from pearhead.testbed.emulator.ledger import SiteLedger
+from pearhead.testbed.emulator.named_versions import fetch_from_cloud, read_control_addresses
 from pearhead.testbed.emulator.node_selector import NodeSelector
 from pearhead.testbed.emulator.operator import SiteOperator
 from pearhead.testbed.emulator.plan import Machine, PlanMaker, SiteSize
@@ -479,6 +483,95 @@
             self.assertEqual(launcher.listed_control_addresses(), first[1:])
 
 
+class ControlPlaneVersionsHandler(RequestHandler):
+    """Tells the named versions as the control plane does."""
+
+    def initialize(self, versions: dict[str, int]) -> None:
+        self.versions = versions
+
+    def get(self) -> None:
+        self.finish({"Versions": [{"Model": m, "Revision": v} for m, v in self.versions.items()]})
+
+
+class NamedVersionsTest(SocketsCase):
+    """A worker takes an order for a version that an operator named by any way, and for no other.
+
+    Guards against an emulated worker that refuses each order for a version named at the control plane alone.
+    """
+
+    async def order(self, fixture: WorkerFixture, version: int) -> int:
+        order = {
+            "Operation": "Revision",
+            "Model": fixture.plan.model,
+            "Revision": version,
+            "Mode": "wait",
+            "Holder": "h",
+            "Fence": 3,
+        }
+        answer = await send_request(fixture.engine_address, "POST", "/v1/order", order)
+        assert answer is not None
+        return answer.head.status
+
+    def connect(self, fixture: WorkerFixture, versions: dict[str, int], extra_addresses: list[str]) -> str:
+        """Connects the worker to a cloud that asks a control plane with these versions; returns the cloud's address."""
+        handler = ("/v1/version-put", ControlPlaneVersionsHandler, {"versions": versions})
+        control = fixture.serve(HTTPServer(Application([handler], log_function=lambda handler: None)))
+        cloud = build_cloud(CloudModel(0, 5), fixture.clock, lambda: [*extra_addresses, control])
+        address = fixture.serve(HTTPServer(cloud))
+        fixture.engine_context.fetch_named_versions = lambda: fetch_from_cloud(address, fixture.plan.model)
+        return address
+
+    def test_a_version_named_at_the_control_plane_alone_is_taken(self) -> None:
+        async def scenario() -> None:
+            fixture = WorkerFixture()
+            versions = {fixture.plan.model: 1, "other": 9}
+            cloud = self.connect(fixture, versions, [])
+            self.assertEqual(await self.order(fixture, 5), 400)
+            versions[fixture.plan.model] = 5
+            self.assertEqual(await self.order(fixture, 5), 202)
+            self.assertEqual(await fetch_from_cloud(cloud, fixture.plan.model), [1, 5], "a new worker learns it too")
+            fixture.close()
+
+        self.run_scenario(scenario())
+
+    def test_a_version_that_nobody_named_is_refused(self) -> None:
+        async def scenario() -> None:
+            fixture = WorkerFixture()
+            with socket.socket() as silent:
+                silent.bind(("127.0.0.1", 0))
+                silent.listen()
+                address = f"127.0.0.1:{silent.getsockname()[1]}"
+                versions = {fixture.plan.model: 5, "other": 9}
+                self.connect(fixture, versions, [address])
+                for version in (4, 6, 9):
+                    self.assertEqual(await self.order(fixture, version), 400, version)
+                self.assertEqual(await self.order(fixture, 5), 202, "a core that does not answer holds up no other")
+            fixture.close()
+
+        self.run_scenario(scenario())
+
+    def test_a_version_is_refused_while_no_control_plane_answers(self) -> None:
+        async def scenario() -> None:
+            fixture = WorkerFixture()
+            cloud = fixture.serve(HTTPServer(build_cloud(CloudModel(0, 5), fixture.clock, lambda: ["127.0.0.1:9"])))
+            fixture.engine_context.fetch_named_versions = lambda: fetch_from_cloud(cloud, fixture.plan.model)
+            self.assertEqual(await self.order(fixture, 5), 400)
+            fixture.engine_context.fetch_named_versions = lambda: fetch_from_cloud("127.0.0.1:9", fixture.plan.model)
+            self.assertEqual(await self.order(fixture, 5), 400)
+            fixture.close()
+
+        self.run_scenario(scenario())
+
+    def test_the_addresses_are_those_of_the_newest_plan(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "fleet.json"
+            self.assertEqual(read_control_addresses(path), [])
+            path.write_text('{"listed": [[0, ["a:1"]], [5, ["b:1"]]]}')
+            self.assertEqual(read_control_addresses(path), ["b:1"])
+            path.write_text('{"listed": [[0, ["a:')
+            self.assertEqual(read_control_addresses(path), [])
+
+
 class CloudOnSocketsTest(SocketsCase):
     def test_beats_and_names(self) -> None:
         async def scenario() -> None:
