Starved: names reach workers in UTF-8, and what clients send is read so

Cause: X-Tenant was the name as it is, and the HTTP library writes headers as Latin-1. The UnicodeEncodeError left the proxy without an answer.

Change: header values that carry configured text are UTF-8 bytes (tenant, worker's id, source and target of parts); a model, a key and a host are read as UTF-8, or as Latin-1 where the bytes are none. Hosts are compared in IDNA, prefixes and paths with all beyond ASCII percent-encoded. A name that no header can hold (control characters, over 4,096 bytes) is refused with its path; one that an earlier release took is served, escaped or cut with a hash. A target with raw bytes beyond ASCII, which reached workers changed, is told 400. An address that is none no longer leaves a request without an answer. Messages in the log stay one line. The operators' command line sends and prints any text.

--- a/src/pearhead/config/description.py
+++ b/src/pearhead/config/description.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import re
+import urllib.parse
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -11,13 +13,15 @@
 
 from pearhead.config.dataclass_parser import parse_dataclass
 from pearhead.runtime.clock import SECOND
-from pearhead.runtime.text import find_unencodable, may_hold_surrogates
+from pearhead.runtime.text import find_header_fault, find_unencodable, may_hold_surrogates
 
 MAX_DESCRIPTION_BYTES = 8 * 1024 * 1024
 MAX_CHANGE_BYTES = 15 * 1024 * 1024
 ANY_TENANT = "*"
 CHUNK_SIZE = 200
 UNENCODABLE_TEXT_FAULT = "holds an unpaired surrogate, so it can't be encoded as UTF-8"
+# In a path: escaped bytes, whose digits may be of either case, and characters that a client has to escape.
+_ESCAPES_AND_UNSAFE_CHARACTERS = re.compile(r"%[0-9a-fA-F]{2}|[^!-~]+")
 
 
 @dataclass(frozen=True)
@@ -145,9 +149,35 @@
 
 
 def normalize_host(host: str) -> str:
-    """Returns the host in lower case and without its port, as hosts are compared."""
+    """Returns the host in lower case and without its port, as hosts are compared.
+
+    A name beyond ASCII is returned in the form that DNS and most clients use (IDNA), where it has one.
+    """
     name, colon, port = host.strip().lower().rpartition(":")
-    return name if colon and (port.isdigit() or not port) and not name.endswith(":") else host.strip().lower()
+    if not colon or not (port.isdigit() or not port) or name.endswith(":"):
+        name = host.strip().lower()
+    return name if name.isascii() else _to_idna(name)
+
+
+def _to_idna(name: str) -> str:
+    try:
+        return name.encode("idna").decode()
+    except UnicodeError:
+        return name
+
+
+def normalize_path(path: str) -> str:
+    """Returns a path or a prefix in the form that clients send, as paths are compared.
+
+    Characters that the path of a request can't hold are percent-encoded as UTF-8; the digits of escapes are in upper
+    case.
+    """
+    return _ESCAPES_AND_UNSAFE_CHARACTERS.sub(_normalize_escape, path)
+
+
+def _normalize_escape(match: re.Match[str]) -> str:
+    text = match[0]
+    return text.upper() if text.startswith("%") else urllib.parse.quote(text, safe="")
 
 
 def cache_owner(tenant: Tenant) -> str:
@@ -254,7 +284,9 @@
         self.seen_names.add(route.name)
         if not route.prefix.startswith("/") or not route.prefix.endswith("/"):
             errors.append(f"{path}.prefix: must begin and end with '/', not {route.prefix!r}")
-        other_route_name = self.route_name_by_prefix.setdefault((normalize_host(route.host), route.prefix), route.name)
+        other_route_name = self.route_name_by_prefix.setdefault(
+            (normalize_host(route.host), normalize_path(route.prefix)), route.name
+        )
         if other_route_name != route.name:
             errors.append(f"{path}.prefix: {route.host}{route.prefix} is matched by {other_route_name!r} too")
         if route.deadline_micros <= 0:
@@ -292,6 +324,9 @@
             errors.append(f"services[{position}].role: must be model, application or store")
     tenant_by_key_hash: dict[str, str] = {}
     for position, tenant in enumerate(description.tenants):
+        name_fault = "" if allow_any_name else find_header_fault(tenant.name)
+        if name_fault:
+            errors.append(f"tenants[{position}].name: {name_fault}")
         for key_hash in tenant.keyHashes:
             if len(key_hash) != 64 or set(key_hash) - set("0123456789abcdef"):
                 errors.append(f"tenants[{position}].keyHashes: must be SHA-256 in hexadecimal")
--- a/src/pearhead/config/startup.py
+++ b/src/pearhead/config/startup.py
@@ -14,7 +14,7 @@
 
 from pearhead.config.dataclass_parser import parse_dataclass
 from pearhead.runtime.clock import SECOND
-from pearhead.runtime.text import load_json
+from pearhead.runtime.text import from_header_value, load_json
 
 
 @dataclass(frozen=True)
@@ -114,7 +114,7 @@
 
 def has_operator_key(startup: StartupConfig, authorization: str) -> bool:
     """Whether an Authorization header carries the operator key; always true if no operator key is set."""
-    received_key = authorization.removeprefix("Bearer ")
+    received_key = from_header_value(authorization.removeprefix("Bearer "))
     return not startup.operatorKey or hmac.compare_digest(startup.operatorKey.encode(), received_key.encode())
 
 
--- a/src/pearhead/config/view.py
+++ b/src/pearhead/config/view.py
@@ -17,6 +17,7 @@
     Tenant,
     description_from_checked_data,
     normalize_host,
+    normalize_path,
 )
 from pearhead.rpc.wire_pb2 import Section, ViewDelta
 from pearhead.runtime.text import load_json
@@ -163,18 +164,19 @@
     def _routes_by_host(self) -> dict[str, dict[str, Route]]:
         routes_by_host: dict[str, dict[str, Route]] = {}
         for route in self.description.routes:
-            routes_by_host.setdefault(normalize_host(route.host), {})[route.prefix] = route
+            routes_by_host.setdefault(normalize_host(route.host), {})[normalize_path(route.prefix)] = route
         return routes_by_host
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of this host with the longest prefix of `path`, or None.
 
-        Case and port of the host are ignored. The cost grows with the number of slashes in the path, not with the
-        number of routes (§5.4).
+        Case and port of the host are ignored, as is how characters beyond ASCII are escaped. The cost grows with the
+        number of slashes in the path, not with the number of routes (§5.4).
         """
         by_prefix = self._routes_by_host.get(normalize_host(host))
         if by_prefix is None:
             return None
+        path = normalize_path(path)
         end = path.rfind("/")
         while end >= 0:
             route = by_prefix.get(path[: end + 1])
--- a/src/pearhead/control_plane/description_change.py
+++ b/src/pearhead/control_plane/description_change.py
@@ -35,6 +35,7 @@
 from pearhead.rpc.wire_pb2 import ChangeDescription, Item
 from pearhead.runtime.text import (
     escape_surrogate_bytes,
+    find_header_fault,
     find_unencodable,
     load_json,
     may_hold_surrogates,
@@ -217,6 +218,9 @@
         if faults:
             return Err(faults)
         document = load_json(change.document)
+        faults = _find_header_errors(document, change.by_name)
+        if faults:
+            return Err(faults)
         try:
             extract_routes(change, document)
         except (KeyError, TypeError, ValueError, AttributeError):
@@ -267,6 +271,9 @@
                     continue
                 if data["name"] != name:
                     faults.append(f"{path}.name: is {name!r} beside it")
+                host_fault = find_header_fault(data["host"])
+                if host_fault:
+                    faults.append(f"{path}.host: {host_fault}")
             route = Route(**{**data, "splits": [Split(**split) for split in data["splits"]]})
             faults.extend(route_validator.check_route(path, route))
         return faults
@@ -298,5 +305,17 @@
         return None
 
 
+def _find_header_errors(document: Json, by_name: bool) -> list[str]:
+    """Names of a change's tenants and model lines that no header could hold as they are (§8.7).
+
+    Only the given items are checked: one that an earlier release stored must not keep others from being changed.
+    """
+    prefix, items = ("put.", document.get("put", {})) if by_name else ("", document)
+    named = [(f"{prefix}tenants[{i}].name", tenant["name"]) for i, tenant in enumerate(items.get("tenants", []))]
+    for i, service in enumerate(items.get("services", [])):
+        named.extend((f"{prefix}services[{i}].lines[{j}]", line) for j, line in enumerate(service.get("lines", [])))
+    return [f"{path}: {fault}" for path, name in named if (fault := find_header_fault(name))]
+
+
 def _find_duplicates(names: list[str]) -> list[str]:
     return [name for name, count in Counter(names).items() if count > 1]
--- a/src/pearhead/pearheadctl/operator_command.py
+++ b/src/pearhead/pearheadctl/operator_command.py
@@ -15,6 +15,7 @@
 from result import Err
 
 from pearhead.config.description import read_description
+from pearhead.runtime.text import to_header_value
 
 MERGED_LIST_NAMES = ("lines", "services", "entries", "tenants")
 # A partial apply without --base is merged and sent again if another change was applied in between.
@@ -189,7 +190,7 @@
     def _call_one(self, address: str, path: str, body: dict[str, Any] | None) -> tuple[int, dict[str, Any]]:
         headers = {"Content-Type": "application/json"}
         if self._key:
-            headers["Authorization"] = f"Bearer {self._key}"
+            headers["Authorization"] = to_header_value(f"Bearer {self._key}")
         body_bytes = None if body is None else json.dumps(body).encode()
         request = urllib.request.Request(f"http://{address}{path}", body_bytes, headers)
         try:
--- a/src/pearhead/pearheadctl/query_command.py
+++ b/src/pearhead/pearheadctl/query_command.py
@@ -12,6 +12,8 @@
 import urllib.request
 from typing import Any
 
+from pearhead.runtime.text import to_header_value
+
 QUERY_TIMEOUT_SECONDS = 2.0
 Row = dict[str, Any]
 
@@ -56,7 +58,7 @@
         return responses, failures
 
     def _fetch_one(self, address: str, path: str) -> Row | str:
-        headers = {"Authorization": f"Bearer {self.key}"} if self.key else {}
+        headers = {"Authorization": to_header_value(f"Bearer {self.key}")} if self.key else {}
         request = urllib.request.Request(f"http://{address}{path}", headers=headers)
         try:
             with urllib.request.urlopen(request, timeout=QUERY_TIMEOUT_SECONDS) as response:
--- a/src/pearhead/router/job_api.py
+++ b/src/pearhead/router/job_api.py
@@ -17,6 +17,7 @@
 from pearhead.router.job_transport import ClientDisconnectedError
 from pearhead.router.node_process import NodeProcess
 from pearhead.runtime.metrics import metrics_routes
+from pearhead.runtime.text import from_header_value
 
 
 @stream_request_body
@@ -57,7 +58,7 @@
         scheme, _, key_text = self.request.headers.get("Authorization", "").partition(" ")
         if scheme != "Bearer":
             key_text = ""
-        outcome = await self.node.run_job(key_text, request.ok_value, HandlerLineWriter(self))
+        outcome = await self.node.run_job(from_header_value(key_text), request.ok_value, HandlerLineWriter(self))
         if isinstance(outcome, Err):
             if self._headers_written:
                 self._abort()
--- a/src/pearhead/router/upstream_pool.py
+++ b/src/pearhead/router/upstream_pool.py
@@ -218,7 +218,8 @@
             await asyncio.wait_for(
                 stream.connect(split_address(address)), min(CONNECT_MICROS, max(limits.limit_micros, 0)) / SECOND
             )
-        except (OSError, StreamClosedError, TimeoutError) as fault:
+        except (OSError, ValueError, OverflowError, StreamClosedError, TimeoutError) as fault:
+            # ValueError and OverflowError: the address names no host, or its port is out of range.
             stream.close()
             return Err(f"no connection: {fault!r}")
         except BaseException:
--- a/src/pearhead/runtime/command_line.py
+++ b/src/pearhead/runtime/command_line.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import os
 import sys
 
@@ -18,6 +19,9 @@
     if sys.argv[1:] == ["--version"]:
         print(f"{program_name} {PEARHEAD_RELEASE}")
         return
+    if isinstance(sys.stdout, io.TextIOWrapper):
+        # A name that the terminal's encoding lacks is shown escaped, as standard error shows it.
+        sys.stdout.reconfigure(errors="backslashreplace")
     try:
         fire.Fire(command, name=program_name)
         sys.stdout.flush()
--- a/src/pearhead/runtime/daemon.py
+++ b/src/pearhead/runtime/daemon.py
@@ -12,6 +12,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from pearhead.runtime.text import escape_controls
+
 LOGGER = logging.getLogger("pearhead")
 FORMAT_ERROR_TEXT = "log: A record could not be formatted."
 
@@ -35,7 +37,8 @@
         if second != self.second:
             self.second, self.second_text = second, time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
         try:
-            message = record.getMessage()
+            # Names come from operators and workers, and must not look like further lines of the log.
+            message = escape_controls(record.getMessage())
         except (TypeError, ValueError):
             # A log call whose arguments don't match its text must not fail its caller.
             message = f"{FORMAT_ERROR_TEXT} text={record.msg!r}"
--- a/src/pearhead/testbed/emulator/engine_server.py
+++ b/src/pearhead/testbed/emulator/engine_server.py
@@ -16,6 +16,7 @@
 from tornado.web import Application, RequestHandler
 
 from pearhead.runtime.clock import MILLI, SECOND, Clock, sleep_for
+from pearhead.runtime.text import from_header_value
 from pearhead.testbed.emulator.engine import (
     DEFAULT_URGENCY,
     DeadlineExceeded,
@@ -128,6 +129,10 @@
         """A header of the request, or an empty string."""
         return str(self.request.headers.get(name, ""))
 
+    def text_header(self, name: str) -> str:
+        """A header that holds a name of the configuration, decoded from UTF-8."""
+        return from_header_value(self.header(name))
+
     def abort_response(self, is_reset: bool) -> None:
         """Closes the connection in the middle of a response, with or without a reset, and records it."""
         self.context.sink.record(BrokenOff(self.context.clock.now(), self.model.worker, self.header("X-Request-Id")))
@@ -205,7 +210,7 @@
                 str(self.request.method),
                 str(self.request.uri),
                 body_digest(self.request.body),
-                self.header("X-Tenant"),
+                self.text_header("X-Tenant"),
                 bool(self.header("Authorization")),
                 int(self.header("Last-Event-Id") or 0),
                 int(self.header("X-Expect-Version") or 0),
@@ -219,9 +224,9 @@
         deadline_micros = round(float(deadline_text) * MILLI) if deadline_text else DEFAULT_DEADLINE_MICROS
         return EngineRequest(
             request_id,
-            self.header("X-Tenant"),
+            self.text_header("X-Tenant"),
             self.header("X-Cache-Salt"),
-            self.header("X-Model"),
+            self.text_header("X-Model"),
             parse_prompt_parts(self.header("X-Prompt-Prefix")),
             prompt_tokens,
             output_tokens,
--- a/tests/test_configured_text.py
+++ b/tests/test_configured_text.py
@@ -1,7 +1,8 @@
-"""Text of a configuration, field by field, on its whole way: API, check, log, state, snapshot and view.
+"""Text of a configuration, field by field, on its whole way: API, check, log, state, snapshot, view and headers.
 
 Acks: an unpaired surrogate in a name raised an exception in each core as the entry was applied, and no later entry was
-applied or acknowledged any more. Such a text is refused with its path; what an earlier release logged is applied.
+applied or acknowledged any more. Starved: a tenant's name beyond Latin-1 ended each of its requests without an answer.
+A text is either refused as a whole, with its path, or served as a whole; what an earlier release logged is applied.
 """
 
 from __future__ import annotations
@@ -14,7 +15,11 @@
 import unittest
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from tornado.httputil import HTTPHeaders
 from tornado.testing import AsyncHTTPTestCase
 from tornado.web import Application
 
@@ -24,9 +29,13 @@
 from pearhead.control_plane.fleet_state import FleetState
 from pearhead.discovery.directory import Directory
 from pearhead.invalidation.revision_sequencer import RevisionSequencer
+from pearhead.router.cache_salt_builder import CacheSaltBuilder
+from pearhead.router.opaque_request import ForwardingMetadata
+from pearhead.router.request_proxy import hash_key
+from pearhead.router.upstream_pool import CallLimits, UpstreamPool
 from pearhead.rpc.rpc_endpoint import RpcEndpoint
 from pearhead.rpc.wire_pb2 import Command, Record
-from pearhead.runtime.clock import SECOND
+from pearhead.runtime.clock import SECOND, BootClock
 from pearhead.runtime.fake_runtime import FakeRuntime
 from pearhead.runtime.text import find_unencodable
 from tests.test_config_api import CONFIG
@@ -35,10 +44,14 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
 from config_api import build_config_api  # noqa: E402
+from platform_protocol_adapter import PlatformProtocolAdapter  # noqa: E402
 
 Json = dict[str, Any]
 HALF_PAIR = "fan-app \ud83d"
 ESCAPED_HALF_PAIR = "fan-app \\ud83d"
+MALAYALAM = "കൊച്ചി സ്കൂൾ"
+WRITABLE_TEXTS = (MALAYALAM, "Göteborg", "\U0001f600", "\u202eright to left", "100%", "tab\tinside")
+UNWRITABLE_NAMES = ("a\r\nX-Urgency: 0", "nul\0", "x" * 70_000)
 # The texts of a configuration: the path of each, as keys and positions.
 TEXT_PATHS: tuple[tuple[str | int, ...], ...] = (
     ("RouteTable", 0, "Name"),
@@ -99,6 +112,13 @@
     return loaded
 
 
+class NoRevisions:
+    """A revision listener that knows no revision above the first."""
+
+    def revision_of(self, owner: str, line: str, part: int) -> int:
+        return 1
+
+
 class ConfigurationCase(AsyncHTTPTestCase):
     def get_app(self) -> Application:
         self.core = build_core_with_sequencer()
@@ -247,3 +267,145 @@
             self.assertEqual([t["name"] for t in core.fleet.description["tenants"]], ["x"])
 
         asyncio.run(play())
+
+
+class AnyTextTest(ConfigurationCase):
+    """Any text in any field is refused as a whole, or served as a whole, and other changes are acknowledged after."""
+
+    @settings(
+        derandomize=True,
+        max_examples=120,
+        deadline=None,
+        suppress_health_check=[HealthCheck.function_scoped_fixture, HealthCheck.differing_executors],
+    )
+    @given(
+        st.sampled_from(TEXT_PATHS),
+        st.text(st.characters(exclude_categories=()), max_size=20)
+        | st.sampled_from((*WRITABLE_TEXTS, *UNWRITABLE_NAMES, HALF_PAIR)),
+    )
+    def test_a_text_is_refused_or_served_as_a_whole(self, path: tuple[str | int, ...], text: str) -> None:
+        number = max(self.core.fleet.description_number, 7) + 2
+        config = with_text({**CONFIG, "Revision": number}, path, text)
+        before = self.core.fleet.build_snapshot()
+        status, answer = self.send("PUT", config, self.core.fleet.description_number)
+        if status == 400:
+            self.assertTrue(answer["Faults"])
+            self.assertEqual(self.core.fleet.build_snapshot(), before)
+            self.assertEqual(
+                self.send("PUT", {**CONFIG, "Revision": number}, self.core.fleet.description_number)[0], 200
+            )
+        else:
+            self.assertEqual(status, 200)
+            self.assertEqual(self.read_config(), config)
+        self.assert_is_served(self.core.fleet)
+        self.assert_changes_are_acknowledged(number)
+
+    def assert_is_served(self, state: FleetState) -> None:
+        """Every route is found and every tenant's request can be written, also after a restart of the core."""
+        self.assertEqual(reload(state).build_snapshot(), state.build_snapshot())
+        view = read_view(state)
+        listener: Any = NoRevisions()
+        adapter = PlatformProtocolAdapter()
+        request = adapter.parse_request("POST", "/a/x", HTTPHeaders({"X-Request-Id": "r"}), b"", 0).unwrap()
+        for tenant in view.description.tenants:
+            salt = CacheSaltBuilder(listener).salt(view, tenant, view.description.lines[0].name, 1, []).text
+            metadata = ForwardingMetadata(
+                SECOND, "i-1", tenant.name, salt=salt, copy_to=view.services["k"].store_address
+            )
+            for name, value in adapter.outgoing_headers(request, metadata).get_all():
+                f"{name}: {value}".encode("latin-1")
+                self.assertNotRegex(value, "[\r\n\0]")
+        for route in view.description.routes:
+            self.assertIsNotNone(view.find_route(route.host, route.prefix + "x"), route)
+
+
+class ServedNameTest(ConfigurationCase):
+    """Starved: each request of an acknowledged tenant whose name Latin-1 lacks ended without an answer."""
+
+    def put(self, *changes: tuple[tuple[str | int, ...], str]) -> View:
+        config = CONFIG
+        for path, text in changes:
+            config = with_text(config, path, text)
+        self.assertEqual(self.send("PUT", config, 0), (200, {"Revision": CONFIG["Revision"]}))
+        return read_view(self.core.fleet)
+
+    def test_names_reach_workers_in_utf_8(self) -> None:
+        for name in (*WRITABLE_TEXTS, "x" * 4_096):
+            self.assertIn(b"\r\nX-Tenant: " + name.encode() + b"\r\n", asyncio.run(sent_bytes(tenant=name)))
+
+    def test_other_texts_of_a_configuration_reach_workers(self) -> None:
+        written = asyncio.run(sent_bytes(worker=MALAYALAM, copy_to=MALAYALAM, fetch_from="Göteborg:1"))
+        for name, text in (("Expect-Instance", MALAYALAM), ("Cache-Target", MALAYALAM), ("Cache-Source", "Göteborg:1")):
+            self.assertIn(f"\r\nX-{name}: {text}\r\n".encode(), written)
+
+    def test_names_that_an_earlier_release_took_are_served_without_a_header_of_their_own(self) -> None:
+        for name in UNWRITABLE_NAMES:
+            head = asyncio.run(sent_bytes(tenant=name))
+            self.assertEqual(head.count(b"\r\nX-Tenant: "), 1)
+            self.assertNotIn(b"\r\nX-Urgency", head)
+            self.assertLess(len(head), 5_000)
+
+    def test_names_that_no_header_can_hold_are_refused_with_their_path(self) -> None:
+        for path, told in (
+            (("Tenants", 0, "Name"), "tenants[0].name"),
+            (("Services", 0, "Engine", "Models", 0, "Name"), "services[0].lines[0]"),
+            (("RouteTable", 0, "Hostname"), "routes[0].host"),
+        ):
+            for name in UNWRITABLE_NAMES:
+                status, answer = self.send("PUT", with_text(CONFIG, path, name), 0)
+                self.assertEqual(status, 400)
+                self.assertTrue(answer["Faults"][0].startswith(f"{told}: must not "), answer)
+
+    def test_one_stored_name_of_that_kind_keeps_no_other_item_from_being_changed(self) -> None:
+        self.put()
+        self.core.fleet.description["tenants"][0]["name"] = UNWRITABLE_NAMES[0]
+        self.assert_changes_are_acknowledged(CONFIG["Revision"])
+
+    def test_keys_models_hosts_and_prefixes_beyond_ascii_are_found(self) -> None:
+        view = self.put(
+            (("Tenants", 0, "Keys", 0), MALAYALAM),
+            (("RouteTable", 0, "Hostname"), "Köln.example"),
+            (("RouteTable", 0, "Prefix"), MALAYALAM),
+            (("Services", 0, "Engine", "Models", 0, "Name"), MALAYALAM),
+        )
+        target = "/" + quote(MALAYALAM).lower() + "/x"
+        for host in ("köln.example:80", "xn--kln-sna.example"):
+            headers = {"Host": host, "Authorization": f"Token {MALAYALAM}", "X-Model": MALAYALAM}
+            # An HTTP library gives the bytes of a header as Latin-1.
+            received = HTTPHeaders({name: text.encode().decode("latin-1") for name, text in headers.items()})
+            request = PlatformProtocolAdapter().parse_request("POST", target, received, b"", 0).unwrap()
+            route = view.find_route(request.host, request.path)
+            assert route is not None, host
+            self.assertEqual(route.name, "r-1")
+            self.assertEqual(view.tenant_by_hash[request.key_hash].name, "t")
+            self.assertIn(request.line, view.line_names)
+
+    def test_a_key_in_latin_1_is_known_as_before(self) -> None:
+        received = HTTPHeaders({"Authorization": "Token sch\xfcssel"})
+        request = PlatformProtocolAdapter().parse_request("POST", "/a/x", received, b"", 0).unwrap()
+        self.assertEqual(request.key_hash, hash_key("schüssel"))
+
+    def test_a_target_that_could_not_be_sent_unchanged_is_refused(self) -> None:
+        parsed = PlatformProtocolAdapter().parse_request("POST", "/a/\xe0\xb4", HTTPHeaders(), b"", 0)
+        self.assertTrue(parsed.is_err())
+
+
+async def sent_bytes(worker: str = "i-1", **metadata: Any) -> bytes:
+    """What a worker gets on its socket for a request with this metadata."""
+    received: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+
+    async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        received.set_result(await reader.readuntil(b"\r\n\r\n"))
+        writer.close()
+
+    async with await asyncio.start_server(take, "127.0.0.1", 0) as server, asyncio.timeout(5):
+        adapter = PlatformProtocolAdapter()
+        request = adapter.parse_request("POST", "/a/x", HTTPHeaders({"X-Request-Id": "r"}), b"", 0).unwrap()
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        call = (await UpstreamPool(BootClock()).call(address, CallLimits(SECOND))).unwrap()
+        try:
+            headers = adapter.outgoing_headers(request, ForwardingMetadata(SECOND, worker, **metadata))
+            call.send("POST", "/a/x", headers, b"")
+            return await received
+        finally:
+            await call.close()
