--- a/src/pearhead/config/description.py
+++ b/src/pearhead/config/description.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-import re
-import urllib.parse
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -12,6 +10,7 @@
 from result import Err, Ok, Result
 
 from pearhead.config.dataclass_parser import parse_dataclass
+from pearhead.config.route_matching import normalize_host, normalize_path
 from pearhead.runtime.clock import SECOND
 from pearhead.runtime.text import find_header_fault, find_unencodable, may_hold_surrogates
 
@@ -20,8 +19,6 @@
 ANY_TENANT = "*"
 CHUNK_SIZE = 200
 UNENCODABLE_TEXT_FAULT = "holds an unpaired surrogate, so it can't be encoded as UTF-8"
-# In a path: escaped bytes, whose digits may be of either case, and characters that a client has to escape.
-_ESCAPES_AND_UNSAFE_CHARACTERS = re.compile(r"%[0-9a-fA-F]{2}|[^!-~]+")
 
 
 @dataclass(frozen=True)
@@ -148,38 +145,6 @@
     entries: list[CapabilityEntry]
 
 
-def normalize_host(host: str) -> str:
-    """Returns the host in lower case and without its port, as hosts are compared.
-
-    A name beyond ASCII is returned in the form that DNS and most clients use (IDNA), where it has one.
-    """
-    name, colon, port = host.strip().lower().rpartition(":")
-    if not colon or not (port.isdigit() or not port) or name.endswith(":"):
-        name = host.strip().lower()
-    return name if name.isascii() else _to_idna(name)
-
-
-def _to_idna(name: str) -> str:
-    try:
-        return name.encode("idna").decode()
-    except UnicodeError:
-        return name
-
-
-def normalize_path(path: str) -> str:
-    """Returns a path or a prefix in the form that clients send, as paths are compared.
-
-    Characters that the path of a request can't hold are percent-encoded as UTF-8; the digits of escapes are in upper
-    case.
-    """
-    return _ESCAPES_AND_UNSAFE_CHARACTERS.sub(_normalize_escape, path)
-
-
-def _normalize_escape(match: re.Match[str]) -> str:
-    text = match[0]
-    return text.upper() if text.startswith("%") else urllib.parse.quote(text, safe="")
-
-
 def cache_owner(tenant: Tenant) -> str:
     """The owner of cached prompt parts: the tenant's sharing group or, without one, the tenant.
 
--- a/src/pearhead/config/view.py
+++ b/src/pearhead/config/view.py
@@ -16,9 +16,8 @@
     Service,
     Tenant,
     description_from_checked_data,
-    normalize_host,
-    normalize_path,
 )
+from pearhead.config.route_matching import normalize_host, normalize_path
 from pearhead.rpc.wire_pb2 import Section, ViewDelta
 from pearhead.runtime.text import load_json
 
--- a/src/pearhead/control_plane/core_process.py
+++ b/src/pearhead/control_plane/core_process.py
@@ -18,7 +18,7 @@
 from pearhead.consensus.raft import RaftMember
 from pearhead.consensus.snapshot_store import SnapshotLimits
 from pearhead.consensus.wal import Wal
-from pearhead.control_plane.description_change import ChangeChecker, decode_route, encodable_route, hash_change, to_json
+from pearhead.control_plane.description_change import ChangeChecker, decode_route, encodable_route, hash_change
 from pearhead.control_plane.fleet_state import FleetState, UnknownCommandError, encode_canonical_json
 from pearhead.control_plane.membership_controller import MembershipController
 from pearhead.control_plane.view_service import ViewService
@@ -41,7 +41,7 @@
 from pearhead.runtime.clock import MILLI, SECOND, Clock, sleep_for
 from pearhead.runtime.disk import Disk
 from pearhead.runtime.net import Net
-from pearhead.runtime.text import load_json
+from pearhead.runtime.text import encode_json, load_json
 
 LOGGER = logging.getLogger("pearhead")
 COMMAND_TIMEOUT_MICROS = 5 * SECOND
@@ -502,7 +502,7 @@
         if not self.raft.is_leader() or not await self.raft.confirm_leadership():
             return DescriptionResult()
         result = DescriptionResult(held=True, number=self.fleet.description_number)
-        result.document = to_json(self.fleet.description)
+        result.document = encode_json(self.fleet.description)
         for name, (shown, source) in self.fleet.routes.items():
             result.route.add(name=name, shown=shown, source=source)
         return result
--- a/src/pearhead/control_plane/description_change.py
+++ b/src/pearhead/control_plane/description_change.py
@@ -34,6 +34,7 @@
 )
 from pearhead.rpc.wire_pb2 import ChangeDescription, Item
 from pearhead.runtime.text import (
+    encode_json,
     escape_surrogate_bytes,
     find_header_fault,
     find_unencodable,
@@ -73,23 +74,20 @@
     source: str = ""
 
 
-def to_json(value: Any) -> bytes:
-    """Compact JSON in UTF-8; lone surrogates pass through."""
-    return json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode("utf-8", "surrogatepass")
-
-
 def encode_route(item: Json) -> Item:
     """Encodes a route, with its source kept apart from what nodes see.
 
     Raises KeyError, TypeError, ValueError or AttributeError if it is no object, has no name, or its source is no text.
     """
     shown = {name: value for name, value in item.items() if name != "source"}
-    return Item(name=item["name"], shown=to_json(shown), source=item.get("source", "").encode("utf-8", "surrogatepass"))
+    return Item(
+        name=item["name"], shown=encode_json(shown), source=item.get("source", "").encode("utf-8", "surrogatepass")
+    )
 
 
 def encodable_route(shown: bytes, source: bytes) -> tuple[bytes, bytes]:
     """An encoded route and its source, without unpaired surrogates, which an earlier release may have stored."""
-    return (to_json(load_json(shown)) if may_hold_surrogates(shown) else shown, escape_surrogate_bytes(source))
+    return (encode_json(load_json(shown)) if may_hold_surrogates(shown) else shown, escape_surrogate_bytes(source))
 
 
 def decode_route(shown: bytes, source: bytes) -> Json:
@@ -134,7 +132,7 @@
     if routes:
         change.route.extend(encode_route(item) for item in routes)
     if routes is not None:
-        change.document = to_json(document)
+        change.document = encode_json(document)
 
 
 def merge_routes(held: EncodedRoutes, change: ChangeDescription, document: Json) -> EncodedRoutes:
--- a/src/pearhead/control_plane/operator_api.py
+++ b/src/pearhead/control_plane/operator_api.py
@@ -10,10 +10,9 @@
 
 from pearhead.config.startup import StartupConfig, has_operator_key
 from pearhead.control_plane.core_process import CoreProcess
-from pearhead.control_plane.description_change import to_json
 from pearhead.rpc.wire_pb2 import Command, CommandResult, Worker
 from pearhead.runtime.metrics import metrics_routes
-from pearhead.runtime.text import escape_surrogates
+from pearhead.runtime.text import encode_json, escape_surrogates
 
 STATUS_CODES = {"done": 200, "conflict": 409, "refused": 422, "held": 409, "unavailable": 503, "unknown": 504}
 
@@ -92,7 +91,7 @@
             return self.refuse("description, or put and remove, are needed")
         try:
             command.change.base_number, command.change.number = int(data["base"]), int(data["number"])
-            command.change.document = to_json(partial_change or data["description"])
+            command.change.document = encode_json(partial_change or data["description"])
         except (KeyError, ValueError, TypeError) as fault:
             return self.refuse(f"number and base are needed: {fault!r}")
         command.change.by_name = bool(partial_change)
--- a/src/pearhead/pearheadctl/operator_command.py
+++ b/src/pearhead/pearheadctl/operator_command.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import difflib
-import hashlib
 import json
 import os
 import secrets
@@ -15,6 +14,7 @@
 from result import Err
 
 from pearhead.config.description import read_description
+from pearhead.config.tenant_key import hash_key
 from pearhead.runtime.text import to_header_value
 
 MERGED_LIST_NAMES = ("lines", "services", "entries", "tenants")
@@ -40,7 +40,7 @@
     for tenant in data.get("tenants", []):
         # Plain keys never leave the operator's machine; only their hashes are sent.
         if isinstance(tenant, dict) and "keys" in tenant:
-            hashes = [hashlib.sha256(str(k).encode()).hexdigest() for k in tenant.pop("keys")]
+            hashes = [hash_key(str(k)) for k in tenant.pop("keys")]
             tenant["keyHashes"] = sorted(set(tenant.get("keyHashes", []) + hashes))
     return data
 
--- a/src/pearhead/router/node_process.py
+++ b/src/pearhead/router/node_process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import hashlib
 import logging
 import random
 from collections import deque
@@ -14,6 +13,7 @@
 from result import Err, Ok, Result
 
 from pearhead.config.startup import StartupConfig
+from pearhead.config.tenant_key import hash_key
 from pearhead.discovery.directory import Directory
 from pearhead.invalidation.revision_listener import RevisionListener
 from pearhead.router.admission import AdmissionController, AdmissionResult
@@ -176,7 +176,7 @@
     async def _run_stages(self, key_text: str, job: Job, writer: LineWriter) -> Result[None, Refusal]:
         if self.is_draining:
             return Err(Refusal(ErrorKind.DRAINING, "this node takes no new jobs"))
-        job.key_hash = hashlib.sha256(key_text.encode()).hexdigest()
+        job.key_hash = hash_key(key_text)
         checked = self._check_against_view(job)
         while not isinstance(checked, Err):
             # The job now waits in its queue, and a drain waits for it. It is checked again once admitted (§8.3).
--- a/src/pearhead/router/request_proxy.py
+++ b/src/pearhead/router/request_proxy.py
@@ -602,11 +602,6 @@
             )
 
 
-def hash_key(key: str) -> str:
-    """Returns the SHA-256 hash of a tenant's key in hexadecimal, as the configuration stores it."""
-    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
-
-
 def _retry_jitter(request_id: str, span_micros: int) -> int:
     """Returns a part of the span derived from the request id, so that a repeated request gets the same value."""
     return int.from_bytes(hashlib.blake2b(request_id.encode(), digest_size=4).digest(), "big") * span_micros >> 32
--- a/src/pearhead/runtime/text.py
+++ b/src/pearhead/runtime/text.py
@@ -62,6 +62,11 @@
     return _escape_all(value) if may_hold_surrogates(encoded_json) else value
 
 
+def encode_json(value: Any) -> bytes:
+    """Compact JSON in UTF-8; unpaired surrogates are encoded one by one (`surrogatepass`)."""
+    return json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode("utf-8", "surrogatepass")
+
+
 def _escape_all(value: Any) -> Any:
     if isinstance(value, str):
         return escape_surrogates(value)
--- a/src/pearhead/testbed/capacity/live_fleet.py
+++ b/src/pearhead/testbed/capacity/live_fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import tempfile
 import time
@@ -11,6 +10,7 @@
 from pathlib import Path
 from typing import Any
 
+from pearhead.config.tenant_key import hash_key
 from pearhead.runtime.clock import BootClock
 from pearhead.testbed.capacity import hollow_nodes, hollow_workers
 from pearhead.testbed.capacity.hollow_nodes import HollowNodesConfig
@@ -74,7 +74,7 @@
             {
                 "name": f"tenant-{n}",
                 "group": "",
-                "keyHashes": [hashlib.sha256(f"{TENANT_KEY}-{n}".encode()).hexdigest()],
+                "keyHashes": [hash_key(f"{TENANT_KEY}-{n}")],
             }
             for n in range(tenants)
         ],
--- a/src/pearhead/testbed/deployment.py
+++ b/src/pearhead/testbed/deployment.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import random
 from dataclasses import dataclass
 from typing import Any
 
+from pearhead.config.tenant_key import hash_key
 from pearhead.runtime.clock import SECOND
 
 
@@ -105,7 +105,7 @@
             {
                 "name": name,
                 "group": deployment.groups.get(name, ""),
-                "keyHashes": [hashlib.sha256(tenant_key(deployment, name).encode()).hexdigest()],
+                "keyHashes": [hash_key(tenant_key(deployment, name))],
             }
             for name in deployment.tenant_names
         ],
--- a/tests/test_config_api.py
+++ b/tests/test_config_api.py
@@ -20,12 +20,13 @@
 from tornado.testing import AsyncHTTPTestCase
 from tornado.web import Application
 
+from pearhead.config.tenant_key import hash_key
 from tests.test_description_change import build_core
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
 from config_api import MAX_CONFIG_BODY_BYTES, build_config_api  # noqa: E402
-from config_translation import ConfigFormatError, YieldingJsonReader, hash_key, read_json  # noqa: E402
+from config_translation import ConfigFormatError, YieldingJsonReader, read_json  # noqa: E402
 from settings import SettingsError, build_startup_config, parse_settings, read_settings  # noqa: E402
 
 Json = dict[str, Any]
--- a/tests/test_configured_text.py
+++ b/tests/test_configured_text.py
@@ -23,6 +23,7 @@
 from tornado.testing import AsyncHTTPTestCase
 from tornado.web import Application
 
+from pearhead.config.tenant_key import hash_key
 from pearhead.config.view import View
 from pearhead.control_plane.core_process import CoreProcess
 from pearhead.control_plane.description_change import hash_change
@@ -31,7 +32,6 @@
 from pearhead.invalidation.revision_sequencer import RevisionSequencer
 from pearhead.router.cache_salt_builder import CacheSaltBuilder
 from pearhead.router.opaque_request import ForwardingMetadata
-from pearhead.router.request_proxy import hash_key
 from pearhead.router.upstream_pool import CallLimits, UpstreamPool
 from pearhead.rpc.rpc_endpoint import RpcEndpoint
 from pearhead.rpc.wire_pb2 import Command, Record
--- a/tests/test_connection_handling.py
+++ b/tests/test_connection_handling.py
@@ -19,12 +19,13 @@
 from tornado.netutil import bind_sockets
 
 from pearhead.config.description import Description, Route, Split, Tenant
+from pearhead.config.tenant_key import hash_key
 from pearhead.config.view import View
 from pearhead.router.client_http_server import ClientConnectionManager, ClientHttpServer, ClientLimits
 from pearhead.router.errors import Refusal
 from pearhead.router.fleet_retry_budget import FleetRetryBudget
 from pearhead.router.opaque_request import OpaqueRequest, ResponseWriter
-from pearhead.router.request_proxy import RequestProxy, hash_key
+from pearhead.router.request_proxy import RequestProxy
 from pearhead.router.upstream_pool import CallLimits, UpstreamPool
 from pearhead.router.worker_control import Backend
 from pearhead.router.worker_load_tracker import WorkerLoadTracker
--- a/tests/test_description_change.py
+++ b/tests/test_description_change.py
@@ -21,7 +21,7 @@
 from pearhead.consensus.snapshot_store import SnapshotLimits
 from pearhead.consensus.wal import Wal
 from pearhead.control_plane.core_process import CoreProcess
-from pearhead.control_plane.description_change import ChangeChecker, encode_route, to_json
+from pearhead.control_plane.description_change import ChangeChecker, encode_route
 from pearhead.control_plane.fleet_state import TAKEN_LIMIT, FleetState
 from pearhead.control_plane.membership_controller import MembershipController
 from pearhead.control_plane.operator_api import build_operator_api
@@ -29,6 +29,7 @@
 from pearhead.runtime.background_task_group import BackgroundTaskGroup
 from pearhead.runtime.clock import BootClock
 from pearhead.runtime.fake_runtime import FakeRuntime
+from pearhead.runtime.text import encode_json
 
 Json = dict[str, Any]
 KEY = "0" * 63
@@ -317,7 +318,7 @@
         older_digest = {name: value for name, value in fleet.read().items() if name != "description_number"}
         older_digest.update(parts={}, transactions=[], sections={}, description={})
         restored = FleetState()
-        restored.load_snapshot(to_json(older_digest))
+        restored.load_snapshot(encode_json(older_digest))
         self.assertEqual((restored.description_revision, restored.description_number, restored.routes), (1, 0, {}))
 
     async def test_a_large_description_is_checked_in_pieces(self) -> None:
--- a/tests/test_fresh_state.py
+++ b/tests/test_fresh_state.py
@@ -17,12 +17,12 @@
 
 from pearhead.config.description import Description, Route, Split, Tenant
 from pearhead.config.startup import StartupConfig
+from pearhead.config.tenant_key import hash_key
 from pearhead.config.view import View
 from pearhead.router.errors import ErrorKind
 from pearhead.router.fleet_retry_budget import FleetRetryBudget
 from pearhead.router.gateway import GatewayProcess, GatewaySettings
 from pearhead.router.opaque_request import OpaqueRequest
-from pearhead.router.request_proxy import hash_key
 from pearhead.router.weights_grace_period import WeightsGracePeriod
 from pearhead.rpc.wire_pb2 import Record
 from pearhead.runtime.clock import SECOND
--- a/tests/test_request_handling.py
+++ b/tests/test_request_handling.py
@@ -11,13 +11,14 @@
 from tornado.httputil import HTTPHeaders
 
 from pearhead.config.description import Description, Route, Service, Split, Tenant
+from pearhead.config.tenant_key import hash_key
 from pearhead.config.view import View
 from pearhead.router.cache_salt_builder import CacheSaltBuilder
 from pearhead.router.errors import ErrorKind
 from pearhead.router.event_stream import EventSplitter
 from pearhead.router.fleet_retry_budget import FleetRetryBudget
 from pearhead.router.opaque_request import ForwardingMetadata, OpaqueRequest, PromptPart
-from pearhead.router.request_proxy import RequestProxy, hash_key
+from pearhead.router.request_proxy import RequestProxy
 from pearhead.router.roster_merge import Roster
 from pearhead.router.worker_control import Backend
 from pearhead.router.worker_load_tracker import WorkerLoadTracker
--- a/tests/test_request_proxy.py
+++ b/tests/test_request_proxy.py
@@ -14,12 +14,13 @@
 from tornado.httputil import HTTPHeaders
 
 from pearhead.config.description import Description, Route, Split, Tenant
+from pearhead.config.tenant_key import hash_key
 from pearhead.config.view import View
 from pearhead.router.errors import ERROR_TABLE, ErrorKind, Refusal
 from pearhead.router.fleet_retry_budget import FleetRetryBudget
 from pearhead.router.opaque_request import ForwardingMetadata, OpaqueRequest, PromptPart, ResponseHead, ResponseVerdict
 from pearhead.router.prefill_tracker import PrefillTracker
-from pearhead.router.request_proxy import RequestProxy, hash_key
+from pearhead.router.request_proxy import RequestProxy
 from pearhead.router.worker_control import Backend
 from pearhead.router.worker_load_tracker import WorkerLoadTracker
 from pearhead.router.worker_selector import WorkerChoice
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -19,10 +19,11 @@
 from tornado.netutil import bind_sockets
 
 from pearhead.config.description import Description, Limits, Route, Split, Tenant
+from pearhead.config.tenant_key import hash_key
 from pearhead.config.view import View
 from pearhead.router.client_http_server import ClientConnectionManager, ClientHttpServer, ClientLimits
 from pearhead.router.fleet_retry_budget import FleetRetryBudget
-from pearhead.router.request_proxy import RequestProxy, hash_key
+from pearhead.router.request_proxy import RequestProxy
 from pearhead.router.upstream_pool import UpstreamPool
 from pearhead.router.worker_load_tracker import WorkerLoadTracker
 from pearhead.runtime.clock import MILLI, SECOND, BootClock, Clock
