--- a/src/pearhead/testbed/emulator/engine_server.py
+++ b/src/pearhead/testbed/emulator/engine_server.py
@@ -32,6 +32,7 @@
 )
 from pearhead.testbed.emulator.engine_driver import EngineDriver
 from pearhead.testbed.emulator.engine_faults import EngineFaults
+from pearhead.testbed.emulator.event_polling import CacheEventsHandler
 from pearhead.testbed.emulator.ledger import Arrival, BrokenOff, Finished, RecordSink, body_digest
 from pearhead.testbed.emulator.response_format import Piece, ResponseSeal, piece_text, request_digest
 
@@ -364,31 +365,6 @@
         await self.finish()
 
 
-class CacheEventsHandler(EngineHandler):
-    """Long poll for cache events."""
-
-    async def get(self) -> None:
-        """Answers the events after `Since`, once there are any or after `Wait-Ms`; 429 beyond the reader limit."""
-        context, events = self.context, self.model.events
-        if context.active_readers >= context.reader_limit:
-            self.set_status(429)
-            await self.finish()
-            return
-        since = int(self.get_argument("Since", "0"))
-        end_at = context.clock.now() + min(1_000, int(self.header("Wait-Ms") or 0)) * MILLI
-        context.active_readers += 1
-        try:
-            page = events.read(context.clock.now(), since)
-            while not page.events and not page.is_dropped and (now := context.clock.now()) < end_at:
-                await sleep_for(context.clock, min(10 * MILLI, end_at - now))
-                page = events.read(context.clock.now(), since)
-            await self.finish(page.body())
-        except StreamClosedError:
-            pass
-        finally:
-            context.active_readers -= 1
-
-
 class CacheListHandler(EngineHandler):
     """Lists all cached parts."""
 
@@ -459,7 +435,7 @@
         [
             ("/v1/report", ReportHandler, handler_args),
             ("/v1/order", OrderHandler, handler_args),
-            ("/v1/kv-events", CacheEventsHandler, handler_args),
+            ("/v1/kv-events", CacheEventsHandler, {"readers": context, "events": context.driver.model.events}),
             ("/v1/kv-list", CacheListHandler, handler_args),
             (probe_path, HealthHandler, handler_args),
             ("/site/lend", CachedPrefixHandler, handler_args),
--- a/src/pearhead/testbed/emulator/store.py
+++ b/src/pearhead/testbed/emulator/store.py
@@ -10,10 +10,10 @@
 import random
 from dataclasses import asdict, replace
 
-from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from pearhead.runtime.clock import MILLI, Clock, sleep_for
+from pearhead.runtime.clock import Clock
+from pearhead.testbed.emulator.event_polling import CacheEventsHandler
 from pearhead.testbed.emulator.part_cache import KeptPart, PartCache, PartEventLog
 
 
@@ -77,31 +77,6 @@
         self.finish({"parts": [asdict(p) for p in self.model.get_cached_prefix(keys)], "zone": self.context.zone})
 
 
-class CacheEventsHandler(StoreHandler):
-    """Long poll for cache events."""
-
-    async def get(self) -> None:
-        """Answers the events after `Since`, once there are any or after `Wait-Ms`; 429 beyond the reader limit."""
-        context, events = self.context, self.model.events
-        if context.active_readers >= context.reader_limit:
-            self.set_status(429)
-            await self.finish()
-            return
-        since = int(self.get_argument("Since", "0"))
-        end_at = context.clock.now() + min(1_000, int(self.request.headers.get("Wait-Ms", "0"))) * MILLI
-        context.active_readers += 1
-        try:
-            page = events.read(context.clock.now(), since)
-            while not page.events and not page.is_dropped and (now := context.clock.now()) < end_at:
-                await sleep_for(context.clock, min(10 * MILLI, end_at - now))
-                page = events.read(context.clock.now(), since)
-            await self.finish(page.body())
-        except StreamClosedError:
-            pass
-        finally:
-            context.active_readers -= 1
-
-
 class CacheListHandler(StoreHandler):
     """Lists all cached parts."""
 
@@ -118,7 +93,7 @@
     handler_args = {"context": context}
     return Application(
         [
-            ("/v1/kv-events", CacheEventsHandler, handler_args),
+            ("/v1/kv-events", CacheEventsHandler, {"readers": context, "events": context.model.events}),
             ("/v1/kv-list", CacheListHandler, handler_args),
             ("/site/lend", CachedPrefixHandler, handler_args),
             ("/site/keep", InsertPartsHandler, handler_args),
