LOST: a number without a bound no longer ends a request that was sent

Callers saw their kept connection closed without an answer: each long request that names 2**64 - 1 as the most tokens to put out reached a worker, which turned it away with 503 and X-Not-Run.

Cause: the sum of its tokens is added to the node's load at the worker, the request is sent, and the load is then announced to the other nodes, where a uint64 field raises ValueError. The exception ended the request and its connection.

Change: - numbers from clients, workers, the platform's list and operators are saturated where they are read (design 3.8 lists them); a request counts at most as much memory as its worker has; sums are saturated where they are sent - RequestBookkeeping: a fault in a node's own records after a request was sent is counted and logged, and the request goes on; any other exception is answered, with 503 where nothing was sent, else with 502 - the loops of a router node are supervised: one that raises is counted and started again. The loop that announces loads ended for good when it met such a sum - LoadReservation moves out of request_proxy.py

Why it works: no number that another program chooses reaches a bounded field unsaturated, and what a node notes about a request can no longer end it.

--- a/src/pearhead/config/dataclass_parser.py
+++ b/src/pearhead/config/dataclass_parser.py
@@ -11,6 +11,9 @@
 from result import Err, Ok, Result
 
 AnyT = TypeVar("AnyT")
+# Numbers of 64 bits: what is stored here meets timers and fields of messages that hold no larger ones.
+MIN_NUMBER = -(2**63)
+MAX_NUMBER = 2**63 - 1
 STRICT_DACITE_CONFIG = dacite.Config(strict=True)
 
 
@@ -84,6 +87,9 @@
                 errors.append(f"{prefix}{name}: missing")
             continue
         value = data[name]
+        if type(value) in (int, float) and not MIN_NUMBER <= value <= MAX_NUMBER:
+            errors.append(f"{prefix}{name}: must be from {MIN_NUMBER} to {MAX_NUMBER}")
+            continue
         if type(value) is spec.hint:
             continue
         field_path = prefix + name
--- a/src/pearhead/router/gateway.py
+++ b/src/pearhead/router/gateway.py
@@ -204,20 +204,20 @@
 
     def start(self) -> None:
         """Starts the background tasks."""
-        for coroutine in (
-            self.directory.run(),
-            self.view_replica.run(),
-            self.revision_listener.run(),
-            self.roster_synchronizer.run(),
-            self.roster_publisher.run(),
-            self.cache_poller.run(),
-            self.weights_rollout.run(),
-            self._announce_use(),
-            self.relay.run(),
-            self._sweep(),
-            self.stats_log.run(),
+        for name, run_loop in (
+            ("directory", self.directory.run),
+            ("view_replica", self.view_replica.run),
+            ("revision_listener", self.revision_listener.run),
+            ("roster_synchronizer", self.roster_synchronizer.run),
+            ("roster_publisher", self.roster_publisher.run),
+            ("cache_poller", self.cache_poller.run),
+            ("weights_rollout", self.weights_rollout.run),
+            ("load_announcer", self._announce_use),
+            ("relay", self.relay.run),
+            ("sweep", self._sweep),
+            ("stats_log", self.stats_log.run),
         ):
-            self.task_group.start(coroutine)
+            self.task_group.supervise(name, self.clock, run_loop)
         LOGGER.info("router: Listens. node=%s address=%s", self.identity[:8], self.startup.address)
 
     def stop(self) -> None:
@@ -316,9 +316,12 @@
     def _announce_prefill(self, note: ReadNote) -> None:
         """Announces the beginning or the end of a long prefill to all nodes at once (§8.8), unless relays are active.
 
-        Until the next periodic report other nodes would send long prompts to the same worker.
+        Until the next periodic report other nodes would send long prompts to the same worker. A failure is logged and
+        counted: the prefill itself goes on.
         """
-        if not self.relay.is_active():
+        if self.relay.is_active():
+            return
+        with self.request_proxy.bookkeeping.update("prefill_announcement"):
             self._broadcast_use()
             self.rpc_endpoint.multicast([r.address for r in self.directory.members("router")], "read_note", note)
 
--- a/src/pearhead/router/metrics.py
+++ b/src/pearhead/router/metrics.py
@@ -14,7 +14,7 @@
 from pearhead.router.view_replica import NEVER_CONFIRMED, ViewReplica
 from pearhead.rpc.metrics import MessageCollector
 from pearhead.runtime.clock import SECOND
-from pearhead.runtime.collectors import InvariantCollector, LinkCollector, LoopLagCollector
+from pearhead.runtime.collectors import BackgroundLoopCollector, InvariantCollector, LinkCollector, LoopLagCollector
 from pearhead.runtime.metrics import build_registry, counter, gauge, labelled_counter, labelled_gauge
 from pearhead.runtime.socketnet import SocketNet
 
@@ -83,6 +83,12 @@
             "requests_taken_draining", "Requests read whole since the drain began.", gateway.accepted_while_draining()
         )
         yield labelled_counter("requests_ended", "Requests by outcome.", "outcome", request_proxy.outcomes)
+        yield labelled_counter(
+            "record_failures",
+            "Updates of the node's own records that failed.",
+            "record",
+            request_proxy.bookkeeping.failures,
+        )
         yield gauge("client_connections", "Callers' connections open.", len(self.connection_manager.streams))
         yield gauge("worker_connections", "Connections to workers, in use and kept.", worker_connections)
         yield counter("worker_connections_opened", "Connections to workers opened.", gateway.pool.opened_count)
@@ -117,6 +123,7 @@
             MessageCollector(gateway.rpc_endpoint),
             LinkCollector(net),
             LoopLagCollector(gateway.loop_lag),
+            BackgroundLoopCollector(gateway.task_group),
             InvariantCollector(gateway.invariants),
         ]
     )
--- a/src/pearhead/router/node_process.py
+++ b/src/pearhead/router/node_process.py
@@ -40,6 +40,8 @@
 from pearhead.runtime.net import Net
 
 LOGGER = logging.getLogger("pearhead")
+# What the figures of a worker raise that are no numbers, or too large for the kind of number that is wanted.
+MALFORMED_FIGURE_ERRORS = (TypeError, ValueError, AttributeError, KeyError, OverflowError)
 JOB_ATTEMPT_LIMIT = 3
 PLACEMENT_HISTORY_SIZE = 200
 PLACEABLE_WAIT_MICROS = 10 * SECOND
@@ -115,14 +117,14 @@
 
     def start(self) -> None:
         """Starts the background tasks; jobs are refused until the view is current."""
-        for coroutine in (
-            self.directory.run(),
-            self.view_replica.run(),
-            self.revision_listener.run(),
-            self.lease_controller.run(),
-            self._review_queues(),
+        for name, run_loop in (
+            ("directory", self.directory.run),
+            ("view_replica", self.view_replica.run),
+            ("revision_listener", self.revision_listener.run),
+            ("lease_controller", self.lease_controller.run),
+            ("queue_review", self._review_queues),
         ):
-            self.task_group.start(coroutine)
+            self.task_group.supervise(name, self.clock, run_loop)
         LOGGER.info("router: Listens. node=%s address=%s", self.identity[:8], self.startup.address)
 
     async def wait_until_placeable(self) -> None:
@@ -428,25 +430,29 @@
         return self.retry_budget.tokens.get(job.entry.service, 0.0) >= 1.0
 
     def _record_usage(self, job: Job, placement: Placement, event: dict[str, Any]) -> None:
-        """Feeds a worker's usage figures to cost estimates and counters; missing or malformed timings are ignored."""
+        """Feeds a worker's usage figures to cost estimates and counters; malformed figures are ignored."""
         assert job.entry is not None
         usage, timings = event["usage"], event.get("timings") or {}
-        with contextlib.suppress(TypeError, ValueError, AttributeError):
+        self.prefix_tokens += sum(p.tokens for p in job.request.prefix)
+        with contextlib.suppress(*MALFORMED_FIGURE_ERRORS):
             self.scheduler.costs.record_prefill(
                 job.entry.line,
                 placement.worker.name,
                 int(timings.get("prompt_n", 0)),
                 float(timings.get("prompt_ms", 0.0)) * MILLI,
             )
-        self.prefix_tokens += sum(p.tokens for p in job.request.prefix)
-        self.reused_tokens += int(usage.get("prompt_tokens_details", {}).get("cached_tokens", 0))
-        if placement.fetch_from is not None and usage.get("fetch_micros"):
-            self.scheduler.costs.record_fetch(
-                placement.fetch_from.name,
-                placement.worker.name,
-                int(usage["fetch_tokens"]),
-                int(usage["fetch_micros"]),
-            )
+        with contextlib.suppress(*MALFORMED_FIGURE_ERRORS):
+            self.reused_tokens += int(usage.get("prompt_tokens_details", {}).get("cached_tokens", 0))
+        if placement.fetch_from is None:
+            return
+        with contextlib.suppress(*MALFORMED_FIGURE_ERRORS):
+            if usage.get("fetch_micros"):
+                self.scheduler.costs.record_fetch(
+                    placement.fetch_from.name,
+                    placement.worker.name,
+                    int(usage["fetch_tokens"]),
+                    int(usage["fetch_micros"]),
+                )
 
     def inspect(self) -> dict[str, Any]:
         """The node's state for `/inspect`: `status`, recent placements, volumes, worker copies and directory."""
--- a/src/pearhead/router/relay.py
+++ b/src/pearhead/router/relay.py
@@ -10,7 +10,7 @@
 
 from pearhead.discovery.directory import Directory
 from pearhead.router.rendezvous import rendezvous_score
-from pearhead.router.worker_load_tracker import WorkerLoadTracker
+from pearhead.router.worker_load_tracker import WorkerLoad, WorkerLoadTracker
 from pearhead.rpc.rpc_endpoint import RpcEndpoint
 from pearhead.rpc.wire_pb2 import KeptNote, Record, RelayNote, UseNote, WorkerUse
 from pearhead.runtime.clock import MILLI, SECOND, Clock, sleep_for
@@ -264,17 +264,11 @@
 
 def sum_use_notes(notes: list[UseNote], serial: int) -> UseNote:
     """Adds up the use of each worker over all notes; the result has the given `serial`."""
-    sums: dict[str, list[int]] = {}
+    totals: dict[str, WorkerLoad] = {}
     for note in notes:
         for use in note.use:
-            totals = sums.setdefault(use.worker, [0, 0, 0])
-            totals[0] += use.running
-            totals[1] += use.waiting_tokens
-            totals[2] += use.held_tokens
-    return UseNote(
-        serial=serial,
-        use=[
-            WorkerUse(worker=worker, running=running, waiting_tokens=max(0, waiting), held_tokens=max(0, held))
-            for worker, (running, waiting, held) in sums.items()
-        ],
-    )
+            total = totals.setdefault(use.worker, WorkerLoad())
+            total.running += use.running
+            total.waiting_tokens += use.waiting_tokens
+            total.held_tokens += use.held_tokens
+    return UseNote(serial=serial, use=[total.to_wire(worker) for worker, total in totals.items()])
--- a/src/pearhead/router/request_proxy.py
+++ b/src/pearhead/router/request_proxy.py
@@ -14,6 +14,7 @@
 
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
 
 from pearhead.config.description import Route, Tenant
 from pearhead.config.view import View
@@ -21,6 +22,7 @@
 from pearhead.router.errors import ErrorKind, Refusal
 from pearhead.router.event_stream import EventSplitter
 from pearhead.router.fleet_retry_budget import FleetRetryBudget
+from pearhead.router.load_reservation import LoadReservation
 from pearhead.router.opaque_request import (
     ForwardingMetadata,
     OpaqueRequest,
@@ -29,11 +31,13 @@
     ResponseVerdict,
     ResponseWriter,
 )
-from pearhead.router.prefill_tracker import PrefillTracker, TrackedPrefill
+from pearhead.router.prefill_tracker import PrefillTracker
+from pearhead.router.request_bookkeeping import RequestBookkeeping
 from pearhead.router.stream_sequence import StreamViolation
 from pearhead.router.upstream_pool import POOL_EXHAUSTED, UNLIMITED_IDLE_MICROS, CallLimits, UpstreamCall, UpstreamPool
 from pearhead.router.worker_load_tracker import WorkerLoadTracker
 from pearhead.router.worker_selector import WorkerChoice, WorkerSelector
+from pearhead.runtime.bounded_numbers import saturate
 from pearhead.runtime.clock import MILLI, SECOND, Clock, sleep_for
 
 LOGGER = logging.getLogger("pearhead")
@@ -72,6 +76,10 @@
 # These statuses promise the client that the request has not run and never will. Only `ResponseVerdict.NOT_RUN` and
 # similar verdicts justify that promise, so a worker's failure with one of these statuses is not forwarded.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# A request's urgency is twice its tenant's plus its route's, from 0 to 9.
+DEFAULT_TENANT_URGENCY = 2
+MAX_TENANT_URGENCY = 4
+MAX_ROUTE_URGENCY = 1
 
 
 class ViewProvider(Protocol):
@@ -166,11 +174,13 @@
         self.check_send = check_send
         self.trusts_keys = trusts_keys
         self.outcomes: dict[str, int] = {}
+        self.bookkeeping = RequestBookkeeping(clock)
 
     async def serve(self, request: OpaqueRequest, writer: ResponseWriter) -> None:
         """Serves one request to its end: a complete response, a refusal, or an aborted connection.
 
-        The worker call and the load reservation are released in every case, also when this task is cancelled.
+        The worker call and the load reservation are released in every case, also when this task is cancelled. An
+        unexpected exception is logged, and the client gets an error response where none has begun.
         """
         splitter = EventSplitter(request.last_event_id, self.adapter.event_version)
         in_flight_request = InFlightRequest(request, writer, splitter, task=asyncio.current_task())
@@ -182,6 +192,14 @@
             if not in_flight_request.is_cancelled_by_shutdown:
                 raise
             self._end_in_flight_request(in_flight_request)
+        except StreamClosedError:
+            raise
+        except Exception:
+            LOGGER.exception("router: A request failed by an unexpected exception. tries=%d", in_flight_request.tries)
+            self._count("internal_error")
+            if not in_flight_request.is_done:
+                refusal = Refusal(ErrorKind.NO_WORKER, "internal error", in_flight_request.retry_micros)
+                self._fail_request(in_flight_request, refusal)
         finally:
             self.in_flight_requests.discard(in_flight_request)
 
@@ -306,8 +324,7 @@
                 self.load_tracker.record_failure(worker)
             return Refusal(ErrorKind.NO_WORKER, "a worker could not be reached", in_flight_request.retry_micros)
         call = call_result.ok_value
-        held_tokens = request.prompt_tokens() + request.output_tokens
-        reservation = _LoadReservation(self.load_tracker, worker, choice.missing_tokens, held_tokens)
+        reservation = self._reserve(choice)
         try:
             if in_flight_request.writer.is_disconnected():
                 # `asyncio.wait_for` can lose a cancellation that arrives just as the connection is established.
@@ -342,7 +359,8 @@
             self.drain.check_send(request.request_id)
             self.check_send()
             call.send(request.method, request.target, headers, request.body)
-            reservation.prefill = self.prefill_tracker.begin(choice, request)
+            with self.bookkeeping.update("prefill"):
+                reservation.prefill = self.prefill_tracker.begin(choice, request)
             return await self._forward_response(
                 in_flight_request, resolved, choice, metadata, call, reservation, sent_micros
             )
@@ -352,6 +370,13 @@
             reservation.end()
             await call.close()
 
+    def _reserve(self, choice: WorkerChoice) -> LoadReservation:
+        """Returns the load that the request adds to the chosen worker, once it is sent."""
+        waiting_tokens = min(choice.missing_tokens, choice.held_tokens)
+        return LoadReservation(
+            self.load_tracker, self.bookkeeping, choice.backend.name, waiting_tokens, choice.held_tokens
+        )
+
     def _call_limits(self, resolved: ResolvedRoute, choice: WorkerChoice, remaining_micros: int) -> CallLimits:
         """Returns a call's limits, with this node's share of the connections that a worker accepts from all (§8.9)."""
         max_idle_micros = UNLIMITED_IDLE_MICROS if _may_repeat(resolved.route) else NON_REPEATABLE_MAX_IDLE_MICROS
@@ -371,7 +396,7 @@
         choice: WorkerChoice,
         metadata: ForwardingMetadata,
         call: UpstreamCall,
-        reservation: _LoadReservation,
+        reservation: LoadReservation,
         sent_micros: int,
     ) -> Refusal:
         request, worker = in_flight_request.request, choice.backend.name
@@ -381,7 +406,8 @@
             return Refusal(ErrorKind.OUTCOME_UNKNOWN, "the worker broke off")
         head = self.adapter.read_response_head(request, metadata, *raw_head)
         if head.verdict is not ResponseVerdict.UNRECOGNIZED:
-            self.record_weight_versions(worker, head)
+            with self.bookkeeping.update("weight_versions"):
+                self.record_weight_versions(worker, head)
         if head.verdict in (ResponseVerdict.NOT_RUN, ResponseVerdict.OTHER_WORKER, ResponseVerdict.OTHER_VERSION):
             # This worker did not run the request; one tried earlier may have.
             in_flight_request.may_have_run = in_flight_request.may_have_run_before
@@ -406,7 +432,7 @@
         choice: WorkerChoice,
         head: ResponseHead,
         call: UpstreamCall,
-        reservation: _LoadReservation,
+        reservation: LoadReservation,
         sent_micros: int,
     ) -> Refusal:
         """Forwards a stream event by event, each once it is complete."""
@@ -420,11 +446,8 @@
                 return Refusal(ErrorKind.OUTCOME_UNKNOWN)
             events = in_flight_request.splitter.feed(chunk)
             if events and reservation.is_awaiting_first_event:
-                reservation.record_first_event()
-                self.selector.expect_cached(
-                    worker, choice.salt, [part.part for part in in_flight_request.request.parts[:-1]]
-                )
-                self._record_prefill_time(choice, self.clock.now() - sent_micros)
+                with self.bookkeeping.update("first_event"):
+                    self._record_first_event(in_flight_request.request, choice, reservation, sent_micros)
             if events and not in_flight_request.has_response_started:
                 in_flight_request.has_response_started = True
                 writer.begin(head.status, head.reason, _forwardable_headers(head.headers))
@@ -445,8 +468,13 @@
         self._count("done")
         return Refusal(ErrorKind.OUTCOME_UNKNOWN)
 
-    def _record_prefill_time(self, choice: WorkerChoice, elapsed_micros: int) -> None:
-        """Records the time from sending the request to the worker's first event."""
+    def _record_first_event(
+        self, request: OpaqueRequest, choice: WorkerChoice, reservation: LoadReservation, sent_micros: int
+    ) -> None:
+        """Records that the prefill is done: its load, what is cached now, and how long it took."""
+        reservation.record_first_event()
+        self.selector.expect_cached(choice.backend.name, choice.salt, [part.part for part in request.parts[:-1]])
+        elapsed_micros = self.clock.now() - sent_micros
         self.load_tracker.learn_slowdown(
             choice.backend.name, choice.missing_tokens, choice.estimated_micros, elapsed_micros
         )
@@ -570,38 +598,6 @@
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
 
 
-class _LoadReservation:
-    """The load that one request adds to a worker in the load tracker; `end` must always be called to remove it."""
-
-    def __init__(self, load_tracker: WorkerLoadTracker, worker: str, missing_tokens: int, held_tokens: int) -> None:
-        self.load_tracker = load_tracker
-        self.worker = worker
-        self.missing_tokens = missing_tokens
-        self.held_tokens = held_tokens
-        self.is_awaiting_first_event = False
-        self.is_running = False
-        self.prefill: TrackedPrefill | None = None
-
-    def begin(self) -> None:
-        self.is_awaiting_first_event = self.is_running = True
-        self.load_tracker.begin(self.worker, self.missing_tokens, self.held_tokens)
-
-    def record_first_event(self) -> None:
-        self.is_awaiting_first_event = False
-        if self.prefill is not None:
-            self.prefill.end(True)
-        self.load_tracker.record_first_event(self.worker, self.missing_tokens)
-
-    def end(self) -> None:
-        if self.prefill is not None:
-            self.prefill.end(False)
-        if self.is_running:
-            self.is_running = False
-            self.load_tracker.end(
-                self.worker, self.missing_tokens if self.is_awaiting_first_event else 0, self.held_tokens
-            )
-
-
 def _retry_jitter(request_id: str, span_micros: int) -> int:
     """Returns a part of the span derived from the request id, so that a repeated request gets the same value."""
     return int.from_bytes(hashlib.blake2b(request_id.encode(), digest_size=4).digest(), "big") * span_micros >> 32
@@ -618,7 +614,8 @@
 
 def _urgency(route: Route, tenant: Tenant | None) -> int:
     """Returns an urgency from 0 to 9, in which the tenant's takes precedence over the route's."""
-    return min(9, 2 * min(tenant.urgency if tenant is not None else 2, 4) + min(route.urgency, 1))
+    tenant_urgency = saturate(tenant.urgency if tenant is not None else DEFAULT_TENANT_URGENCY, MAX_TENANT_URGENCY)
+    return 2 * tenant_urgency + saturate(route.urgency, MAX_ROUTE_URGENCY)
 
 
 def _forwardable_headers(headers: HTTPHeaders) -> HTTPHeaders:
--- a/src/pearhead/router/roster_synchronizer.py
+++ b/src/pearhead/router/roster_synchronizer.py
@@ -111,6 +111,7 @@
         self.is_merging_from_peer = False
         self.failure_count = 0
         self.is_asking = False
+        self.has_started_pulls = False
         self.last_tick_micros = 0
         self.resumed_micros = DISTANT_PAST_MICROS
         node_random = random.Random(identity)
@@ -139,8 +140,7 @@
         started_micros = self.clock.now()
         self.earliest_request_micros = started_micros + FRESH_MICROS + self.rng.randrange(FRESH_MICROS)
         self.last_list_micros = self.earliest_request_micros - self.list_period_micros - self.list_period_micros // 5
-        self.task_group.start(self._bootstrap_from_peers())
-        self.task_group.start(self._pull_while_old())
+        self._start_pulls()
         self.last_tick_micros = started_micros
         while True:
             await sleep_for(self.clock, TICK_MICROS)
@@ -153,6 +153,14 @@
             if not is_alone and now_micros >= max(self.earliest_request_micros, self._due_micros()):
                 await self._ask_list()
 
+    def _start_pulls(self) -> None:
+        """Starts the loops that pull from peers, unless an earlier call of `run` did."""
+        if self.has_started_pulls:
+            return
+        self.has_started_pulls = True
+        self.task_group.supervise("roster_bootstrap", self.clock, self._bootstrap_from_peers)
+        self.task_group.supervise("roster_pull", self.clock, self._pull_while_old)
+
     # ---- election of the polling node ------------------------------------------------------------
 
     def _rank(self) -> int:
--- a/src/pearhead/router/upstream_pool.py
+++ b/src/pearhead/router/upstream_pool.py
@@ -15,6 +15,7 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import IOStream, StreamClosedError
 
+from pearhead.runtime.bounded_numbers import parse_saturated
 from pearhead.runtime.clock import MILLI, SECOND, Clock
 from pearhead.runtime.socketnet import split_address
 
@@ -22,8 +23,9 @@
 IDLE_MICROS = 4 * SECOND
 KEEP_ALIVE_MARGIN_MICROS = 1_200 * MILLI
 TCP_USER_TIMEOUT_MILLIS = 3_000
+MAX_KEEP_ALIVE_SECONDS = 3_600
 MAX_UPSTREAM_BODY_BYTES = 64 * 1024 * 1024
-KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout\s*=\s*(\d+)")
+KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout\s*=\s*([0-9]+)")
 # A kept connection that broke after a shorter idle time was not closed by an idle timeout of the worker.
 MIN_EARLY_CLOSE_IDLE_MICROS = 50 * MILLI
 EARLY_CLOSE_TTL_MICROS = 10 * SECOND
@@ -272,7 +274,10 @@
     def return_to_pool(self, address: str, stream: IOStream, headers: HTTPHeaders, share: int = 0) -> None:
         """Keeps a connection until its `Keep-Alive` timeout less a margin; closes it if `share` is exceeded."""
         timeout_match = KEEP_ALIVE_TIMEOUT_PATTERN.search(headers.get("Keep-Alive", ""))
-        keep_micros = int(timeout_match.group(1)) * SECOND - KEEP_ALIVE_MARGIN_MICROS if timeout_match else IDLE_MICROS
+        keep_micros = IDLE_MICROS
+        if timeout_match is not None:
+            timeout_seconds = parse_saturated(timeout_match.group(1), MAX_KEEP_ALIVE_SECONDS)
+            keep_micros = timeout_seconds * SECOND - KEEP_ALIVE_MARGIN_MICROS
         if share and not self._shrink_to(address, share):
             stream.close()
             return
--- a/src/pearhead/router/worker_lease.py
+++ b/src/pearhead/router/worker_lease.py
@@ -30,6 +30,7 @@
 from pearhead.rpc.rpc_endpoint import RpcEndpoint
 from pearhead.rpc.wire_pb2 import ChangedNote, Command, CommandAsk, CommandResult, CopyNote, PurgeNote
 from pearhead.runtime.background_task_group import BackgroundTaskGroup
+from pearhead.runtime.bounded_numbers import MAX_UINT32, MAX_UINT64, saturate
 from pearhead.runtime.clock import MILLI, SECOND, Clock, sleep_for
 
 LOGGER = logging.getLogger("pearhead")
@@ -340,10 +341,13 @@
             has_new_state = body["life"] != poll_state.life or body["sequence"] != poll_state.sequence
             from_sequence = 0 if body["whole"] else poll_state.sequence
             poll_state.life, poll_state.sequence = body["life"], body["sequence"]
-            load = (int(body.get("running", 0)), int(body.get("waiting_tokens", 0)))
+            load = (
+                saturate(int(body.get("running", 0)), MAX_UINT32),
+                saturate(int(body.get("waiting_tokens", 0)), MAX_UINT64),
+            )
             if has_new_state or load != poll_state.load:
                 poll_state.load = load
-                self._publish_copies(worker, body, from_sequence)
+                self._publish_copies(worker, body, from_sequence, load)
             self._bump_changed(body["changed"])
             await sleep_for(self.clock, POLL_MICROS)
         finally:
@@ -383,7 +387,9 @@
         if revision is None or self.revision_listener.last_revision_of(owner, line, part) == revision:
             await self.revision_listener.bump(owner, line, part)
 
-    def _publish_copies(self, worker: WorkerRecord, body: dict[str, Any], from_sequence: int) -> None:
+    def _publish_copies(
+        self, worker: WorkerRecord, body: dict[str, Any], from_sequence: int, load: tuple[int, int]
+    ) -> None:
         """Sends cache changes and load to all nodes. A node that misses them only reuses caches less (§6.5)."""
         kept, dropped = list(body["kept"]), list(body["dropped"])
         note = CopyNote(
@@ -394,8 +400,8 @@
             whole=body["whole"],
             kept=kept,
             dropped=dropped,
-            running=int(body.get("running", 0)),
-            waiting_tokens=int(body.get("waiting_tokens", 0)),
+            running=load[0],
+            waiting_tokens=load[1],
         )
         self._record_copies(note)
         addresses = [r.address for r in self.directory.members("router")]
--- a/src/pearhead/router/worker_load_tracker.py
+++ b/src/pearhead/router/worker_load_tracker.py
@@ -6,6 +6,7 @@
 
 from pearhead.router.prefill_rate import PrefillRates
 from pearhead.rpc.wire_pb2 import UseNote, WorkerUse
+from pearhead.runtime.bounded_numbers import MAX_UINT32, MAX_UINT64, saturate
 from pearhead.runtime.clock import MILLI, SECOND, Clock
 
 LOAD_REPORT_TTL_MICROS = 1_500 * MILLI
@@ -24,6 +25,15 @@
     waiting_tokens: int = 0
     held_tokens: int = 0
 
+    def to_wire(self, worker: str) -> WorkerUse:
+        """Returns the load as a message; a number that its field can't hold is sent as the largest that fits."""
+        return WorkerUse(
+            worker=worker,
+            running=saturate(self.running, MAX_UINT32),
+            waiting_tokens=saturate(self.waiting_tokens, MAX_UINT64),
+            held_tokens=saturate(self.held_tokens, MAX_UINT64),
+        )
+
 
 class WorkerLoadTracker:
     """Load, failures and slowdown of each worker.
@@ -72,12 +82,7 @@
         self.is_changed = False
         return UseNote(
             serial=self.clock.now(),
-            use=[
-                WorkerUse(
-                    worker=worker, running=use.running, waiting_tokens=use.waiting_tokens, held_tokens=use.held_tokens
-                )
-                for worker, use in self.own_loads.items()
-            ],
+            use=[use.to_wire(worker) for worker, use in self.own_loads.items()],
         )
 
     def apply_report(self, reporter: str, note: UseNote) -> None:
--- a/src/pearhead/router/worker_selector.py
+++ b/src/pearhead/router/worker_selector.py
@@ -53,7 +53,8 @@
 
     `missing_tokens` are prefilled by the worker. `cached_tokens` include what it fetches from the address `fetch_from`.
     `copy_to` is the address of a store that should get a copy of the shared parts. `estimated_micros` is the estimated
-    time to the first event, before it is scaled by the worker's slowdown factor.
+    time to the first event, before it is scaled by the worker's slowdown factor. `held_tokens` is the memory that the
+    request takes there, at most all that the worker has.
     """
 
     backend: Backend
@@ -66,6 +67,7 @@
     fetch_from: str
     copy_to: str
     estimated_micros: int
+    held_tokens: int
 
 
 class WorkerSelector:
@@ -239,7 +241,7 @@
         backend = min(
             candidates, key=lambda b: (self.load_tracker.current_load(b.name).running, b.zone != self.zone, b.name)
         )
-        return WorkerChoice(backend, service.name, "", None, "", 0, 0, "", "", FIRST_EVENT_MICROS)
+        return WorkerChoice(backend, service.name, "", None, "", 0, 0, "", "", FIRST_EVENT_MICROS, 0)
 
     def _evaluate_worker(
         self,
@@ -257,6 +259,7 @@
         assert version is not None
         salt = salts[version]
         prompt_tokens = request.prompt_tokens()
+        held_tokens = _held_tokens(service, request)
         cached_tokens = self._cached_tokens(backend.name, salt.text, request)
         missing_tokens = prompt_tokens - cached_tokens
         fetch_from, fetched_tokens, fetch_micros = "", 0, 0.0
@@ -280,9 +283,7 @@
         estimated_micros = request_micros + waiting_micros
         # A long prefix that is not cached goes to its home worker, the same for all nodes, unless that is much busier.
         shared_tokens = sum(part.tokens for part in request.parts[:-1])
-        placement_penalty_micros = _memory_shortage_micros(
-            service, load.held_tokens + prompt_tokens + request.output_tokens
-        )
+        placement_penalty_micros = _memory_shortage_micros(service, load.held_tokens + held_tokens)
         duplicate_tokens = min(max_cached_by_version.get(version, 0), shared_tokens) - cached_tokens - fetched_tokens
         placement_penalty_micros += min(
             max(duplicate_tokens, 0) * DUPLICATE_CACHE_MICROS_PER_TOKEN, MAX_DUPLICATE_CACHE_MICROS
@@ -303,6 +304,7 @@
             fetch_from,
             copy_to,
             int(estimated_micros),
+            held_tokens,
         )
 
     def _reserved_workers(
@@ -419,6 +421,12 @@
             self.expected_cached = {key: until for key, until in self.expected_cached.items() if until > now_micros}
 
 
+def _held_tokens(service: Service, request: OpaqueRequest) -> int:
+    """The tokens of a request, at most the service's cache memory: a worker turns away what exceeds it."""
+    tokens = request.prompt_tokens() + request.output_tokens
+    return min(tokens, service.cache_tokens) if service.cache_tokens > 0 else tokens
+
+
 def _memory_shortage_micros(service: Service, held_tokens: int) -> float:
     """The penalty for exceeding a worker's usable cache memory; it grows with the tokens held."""
     usable_tokens = service.cache_tokens * USABLE_CACHE_FRACTION
--- a/src/pearhead/runtime/collectors.py
+++ b/src/pearhead/runtime/collectors.py
@@ -7,6 +7,7 @@
 from prometheus_client import Metric
 from prometheus_client.registry import Collector
 
+from pearhead.runtime.background_task_group import BackgroundTaskGroup
 from pearhead.runtime.clock import SECOND
 from pearhead.runtime.invariants import InvariantCounters
 from pearhead.runtime.loop_lag import LoopLag
@@ -56,6 +57,22 @@
         yield gauge("event_loop_lag_seconds", "The greatest lateness of a timer in the last 10 to 20 s.", lag_seconds)
 
 
+class BackgroundLoopCollector(Collector):
+    """Failures of the loops that a process supervises."""
+
+    def __init__(self, task_group: BackgroundTaskGroup) -> None:
+        self.task_group = task_group
+
+    def collect(self) -> Iterable[Metric]:
+        """Yields the count of every supervised loop, also of those that never failed."""
+        yield labelled_counter(
+            "background_loop_failures",
+            "Times that a loop failed and was started again.",
+            "loop",
+            self.task_group.supervised_failures,
+        )
+
+
 class InvariantCollector(Collector):
     """Counts of invariant violations."""
 
--- a/tests/test_connection_handling.py
+++ b/tests/test_connection_handling.py
@@ -114,7 +114,7 @@
         self, view: View, route: Route, request: OpaqueRequest, tenant: Tenant | None, excluded: frozenset[str]
     ) -> Result[WorkerChoice, Refusal]:
         backend = Backend("w1", self.address, "z", "s", 4, False, {}, 0)
-        return Ok(WorkerChoice(backend, "s", "", None, "", 0, 0, "", "", 1_000))
+        return Ok(WorkerChoice(backend, "s", "", None, "", 0, 0, "", "", 1_000, 0))
 
 
 def make_proxy(address: str, stream: bool, deadline_micros: int) -> RequestProxy:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -87,6 +87,8 @@
     "link_frames_dropped",
     "datagram_errors",
     "event_loop_lag_seconds",
+    "record_failures",
+    "background_loop_failures",
     "invariant_violations",
 }
 
--- a/tests/test_prefill_tracker.py
+++ b/tests/test_prefill_tracker.py
@@ -23,7 +23,9 @@
 
 
 def make_choice(missing_tokens: int, worker: str = "w1", salt: str = "salt") -> WorkerChoice:
-    return WorkerChoice(Backend(worker, "a", "z", "s", 4), "s", "l", 1, salt, 0, missing_tokens, "", "", 1)
+    return WorkerChoice(
+        Backend(worker, "a", "z", "s", 4), "s", "l", 1, salt, 0, missing_tokens, "", "", 1, missing_tokens
+    )
 
 
 REQUEST, CHOICE = make_request(9_000, 500), make_choice(9_500)
--- a/tests/test_request_proxy.py
+++ b/tests/test_request_proxy.py
@@ -90,7 +90,21 @@
             return Err(Refusal(ErrorKind.NO_WORKER))
         self.chosen.append(free[0])
         backend = Backend(free[0], "127.0.0.1:1", "z", "s", 4, False, {"l": 2}, 0)
-        return Ok(WorkerChoice(backend, "s", "l", 2, "salt", 0, self.missing_tokens, "", "", 1_000))
+        return Ok(
+            WorkerChoice(
+                backend,
+                "s",
+                "l",
+                2,
+                "salt",
+                0,
+                self.missing_tokens,
+                "",
+                "",
+                1_000,
+                request.prompt_tokens() + request.output_tokens,
+            )
+        )
 
     def knows_workers(self) -> bool:
         return True
--- a/tests/test_right_answer_once.py
+++ b/tests/test_right_answer_once.py
@@ -172,7 +172,7 @@
         for number, worker in enumerate(self.workers):
             if f"w{number}" not in excluded:
                 backend = Backend(f"w{number}", worker.address, "z", "s", self.capacity)
-                return Ok(WorkerChoice(backend, "s", "", None, "", 0, 0, "", "", 1_000))
+                return Ok(WorkerChoice(backend, "s", "", None, "", 0, 0, "", "", 1_000, 0))
         return Err(Refusal(ErrorKind.NO_WORKER))
 
     def knows_workers(self) -> bool:
