WALL: a view that is not current no longer lets tenants share memory

Callers of an isolated tenant were served on memory that another tenant's requests made, and the other way round: for as long as the core was down after it had acknowledged the isolation, up to 60 s.

Cause: a node serves by its last view for 60 s after the core last confirmed it, and made cache salts from that view as from a current one.

Change: the confirmation of the view is a lease on sharing (design 5.6). After it has run out, a request shares only with requests of the same key at the same node since then; nothing is fetched or copied to a store. The lease is looked at again in one step with the first byte. A view that was never confirmed isn't served on a machine that was just booted. The term follows the platform's ApplyMs where that is under 2 s. A counter tells of such salts.

Why it works: the name of the scope holds the node, the time of the last confirmation and the key, so no request that ran before can have used it.

--- a/src/pearhead/router/gateway.py
+++ b/src/pearhead/router/gateway.py
@@ -24,9 +24,10 @@
 from pearhead.router.request_proxy import RequestProxy
 from pearhead.router.roster_publisher import RosterPublisher
 from pearhead.router.roster_synchronizer import RosterSynchronizer
+from pearhead.router.sharing_scope import SharingScopes
 from pearhead.router.stats_log import StatsLog
 from pearhead.router.upstream_pool import UpstreamPool
-from pearhead.router.view_replica import ViewReplica
+from pearhead.router.view_replica import NEVER_CONFIRMED, ViewReplica
 from pearhead.router.weights_grace_period import WeightsGracePeriod
 from pearhead.router.weights_rollout import WeightsRollout
 from pearhead.router.worker_control import Backend, WorkerControl
@@ -166,6 +167,7 @@
             startup.holdMicros,
         )
         self.pool = UpstreamPool(clock)
+        self.salt_builder = CacheSaltBuilder(self.revision_listener, SharingScopes(self.view_replica, self.identity))
         self.worker_selector = WorkerSelector(
             clock,
             startup.area,
@@ -173,7 +175,7 @@
             self.version_table,
             self.prefix_cache_index,
             self.load_tracker,
-            CacheSaltBuilder(self.revision_listener),
+            self.salt_builder,
             self.weights_grace_period.may_use,
             self._sample_candidates,
             self.relay.is_active,
@@ -244,11 +246,13 @@
     def view(self) -> View | None:
         """The last known view, or None while there is none or it was not confirmed for `max_view_age_micros` (§5.5).
 
-        So a node keeps serving for a bounded time without the cores.
+        So a node keeps serving for a bounded time without the cores. A view that was never confirmed is not served.
         """
         view_replica = self.view_replica
         if not view_replica.has_view or view_replica.view.description_number == 0:
             return None
+        if view_replica.confirmed_micros == NEVER_CONFIRMED:
+            return None
         is_fresh = self.clock.now() - view_replica.confirmed_micros <= self.settings.max_view_age_micros
         return view_replica.view if is_fresh else None
 
--- a/src/pearhead/router/metrics.py
+++ b/src/pearhead/router/metrics.py
@@ -83,6 +83,11 @@
             "requests_taken_draining", "Requests read whole since the drain began.", gateway.accepted_while_draining()
         )
         yield labelled_counter("requests_ended", "Requests by outcome.", "outcome", request_proxy.outcomes)
+        yield counter(
+            "unconfirmed_salts",
+            "Cache salts made while the view was not known to be current.",
+            gateway.salt_builder.unconfirmed_count,
+        )
         yield labelled_counter(
             "record_failures",
             "Updates of the node's own records that failed.",
--- a/src/pearhead/router/request_proxy.py
+++ b/src/pearhead/router/request_proxy.py
@@ -333,7 +333,7 @@
             if (
                 isinstance(resolution, Err)
                 or resolution.ok_value.route.splits != resolved.route.splits
-                or not self.selector.is_still_valid(resolution.ok_value.view, choice)
+                or not self.selector.is_still_valid(resolution.ok_value.view, resolved.tenant, request, choice)
             ):
                 # The configuration that the worker was chosen by is no longer in force; nothing was sent (§8.4).
                 return Refusal(ErrorKind.NO_WORKER, "what was placed does not stand", DEFAULT_RETRY_AFTER_MICROS)
--- a/src/pearhead/router/worker_selector.py
+++ b/src/pearhead/router/worker_selector.py
@@ -126,8 +126,12 @@
         """
         return bool(self.roster().backends)
 
-    def is_still_valid(self, view: View, choice: WorkerChoice) -> bool:
-        """Whether this choice could still be made; checked in the same step that sends the first byte (§8.4)."""
+    def is_still_valid(self, view: View, tenant: Tenant | None, request: OpaqueRequest, choice: WorkerChoice) -> bool:
+        """Whether this choice could still be made; checked in the same step that sends the first byte (§8.4).
+
+        The salt has to be the one that the request would get now: who shares cached parts may have changed since, and
+        so may whether the view is confirmed (§5.6).
+        """
         backend = self.roster().backends.get(choice.backend.name)
         if backend is None or backend.is_leaving or backend.address != choice.backend.address:
             return False
@@ -137,6 +141,7 @@
             not self.version_table.is_loading(backend.name)
             and self.may_use(view, choice.line, choice.version)
             and self.version_table.version_of(backend.name, choice.line) == choice.version
+            and self.salt_builder.salt(view, tenant, choice.line, choice.version, request).text == choice.salt
         )
 
     def _choose_in_service(
@@ -174,7 +179,7 @@
         elif self.are_load_reports_late():
             candidates = self._home_and_caching_workers(view, candidates, tenant, line, request)
         salts = {
-            version: self.salt_builder.salt(view, tenant, line, version, request.parts)
+            version: self.salt_builder.salt(view, tenant, line, version, request)
             for version in {self.version_table.version_of(b.name, line) for b in candidates}
             if version is not None
         }
@@ -225,7 +230,7 @@
         for version in {self.version_table.version_of(backend.name, line) for backend in candidates} - {None}:
             assert version is not None
             chosen |= self.prefix_cache_index.cache_locations_of(
-                self.salt_builder.salt(view, tenant, line, version, request.parts).text, first
+                self.salt_builder.salt(view, tenant, line, version, request).text, first
             )
         return [backend for backend in candidates if backend.name in chosen]
 
--- a/tests/test_config_api.py
+++ b/tests/test_config_api.py
@@ -354,6 +354,9 @@
         self.assertEqual((settings.bounds.fenced, settings.cloud.rate_per_s, settings.limits.cores), (True, 47.0, 3.0))
         restarted = parse_settings({**SETTINGS, "FirstStart": False})
         self.assertEqual(build_startup_config(restarted).founders, [])
+        for apply_millis, term_micros in ((1_500, 1_500_000), (2_500, 2_000_000)):
+            bounded = parse_settings({**SETTINGS, "Bounds": {"ApplyMs": apply_millis}})
+            self.assertEqual(build_startup_config(bounded).termMicros, term_micros)
         front = {**SETTINGS, "Serves": ["front"], "DataDir": None, "BindAddresses": {"Front": "10.1.0.36:8167"}}
         front_startup = build_startup_config(parse_settings(front))
         self.assertEqual((front_startup.founders, front_startup.dataFolder), ([], ""))
--- a/tests/test_configured_text.py
+++ b/tests/test_configured_text.py
@@ -30,7 +30,6 @@
 from pearhead.control_plane.fleet_state import FleetState
 from pearhead.discovery.directory import Directory
 from pearhead.invalidation.revision_sequencer import RevisionSequencer
-from pearhead.router.cache_salt_builder import CacheSaltBuilder
 from pearhead.router.opaque_request import ForwardingMetadata
 from pearhead.router.upstream_pool import CallLimits, UpstreamPool
 from pearhead.rpc.rpc_endpoint import RpcEndpoint
@@ -38,6 +37,7 @@
 from pearhead.runtime.clock import SECOND, BootClock
 from pearhead.runtime.fake_runtime import FakeRuntime
 from pearhead.runtime.text import find_unencodable
+from tests.sharing import make_salt_builder
 from tests.test_config_api import CONFIG
 from tests.test_description_change import build_core, change, whole_description
 
@@ -112,13 +112,6 @@
     return loaded
 
 
-class NoRevisions:
-    """A revision listener that knows no revision above the first."""
-
-    def revision_of(self, owner: str, line: str, part: int) -> int:
-        return 1
-
-
 class ConfigurationCase(AsyncHTTPTestCase):
     def get_app(self) -> Application:
         self.core = build_core_with_sequencer()
@@ -304,11 +297,10 @@
         """Every route is found and every tenant's request can be written, also after a restart of the core."""
         self.assertEqual(reload(state).build_snapshot(), state.build_snapshot())
         view = read_view(state)
-        listener: Any = NoRevisions()
         adapter = PlatformProtocolAdapter()
         request = adapter.parse_request("POST", "/a/x", HTTPHeaders({"X-Request-Id": "r"}), b"", 0).unwrap()
         for tenant in view.description.tenants:
-            salt = CacheSaltBuilder(listener).salt(view, tenant, view.description.lines[0].name, 1, []).text
+            salt = make_salt_builder().salt(view, tenant, view.description.lines[0].name, 1, request).text
             metadata = ForwardingMetadata(
                 SECOND, "i-1", tenant.name, salt=salt, copy_to=view.services["k"].store_address
             )
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -87,6 +87,7 @@
     "link_frames_dropped",
     "datagram_errors",
     "event_loop_lag_seconds",
+    "unconfirmed_salts",
     "record_failures",
     "background_loop_failures",
     "invariant_violations",
--- a/tests/test_purge_on_request_path.py
+++ b/tests/test_purge_on_request_path.py
@@ -8,7 +8,6 @@
 
 import random
 import unittest
-from collections.abc import Sequence
 from typing import Any, cast
 
 from tornado.httputil import HTTPHeaders
@@ -20,6 +19,7 @@
 from pearhead.router.opaque_request import OpaqueRequest, PromptPart
 from pearhead.router.prefix_cache_index import PrefixCacheIndex
 from pearhead.router.roster_merge import Roster
+from pearhead.router.sharing_scope import SharingScopes
 from pearhead.router.worker_control import Backend
 from pearhead.router.worker_load_tracker import WorkerLoadTracker
 from pearhead.router.worker_selector import WorkerChoice, WorkerSelector
@@ -39,6 +39,7 @@
 )
 from pearhead.testbed.emulator.ledger import ConfigSent, Record, SiteLedger
 from pearhead.testbed.emulator.part_cache import KeptPart
+from tests.sharing import FixedConfirmation
 
 PARTS = (PromptPart("a1", 12_000), PromptPart("b2", 300))
 TENANTS = {
@@ -63,9 +64,7 @@
 
 
 class ConstantSaltBuilder(CacheSaltBuilder):
-    def salt(
-        self, view: View, tenant: Tenant | None, line: str, version: int, parts: Sequence[PromptPart]
-    ) -> CacheSalt:
+    def salt(self, view: View, tenant: Tenant | None, line: str, version: int, request: OpaqueRequest) -> CacheSalt:
         return CacheSalt("one salt for all", True)
 
 
@@ -96,7 +95,7 @@
             self.version_table,
             self.index,
             WorkerLoadTracker(self.runtime),
-            salt_type(cast(RevisionListener, self.listener)),
+            salt_type(cast(RevisionListener, self.listener), SharingScopes(FixedConfirmation(), "n")),
             lambda view, line, version: True,
         )
 
--- a/tests/test_request_handling.py
+++ b/tests/test_request_handling.py
@@ -13,7 +13,6 @@
 from pearhead.config.description import Description, Route, Service, Split, Tenant
 from pearhead.config.tenant_key import hash_key
 from pearhead.config.view import View
-from pearhead.router.cache_salt_builder import CacheSaltBuilder
 from pearhead.router.errors import ErrorKind
 from pearhead.router.event_stream import EventSplitter
 from pearhead.router.fleet_retry_budget import FleetRetryBudget
@@ -26,6 +25,7 @@
 from pearhead.router.worker_version_table import WorkerVersionTable
 from pearhead.runtime.clock import MILLI, SECOND
 from pearhead.runtime.fake_runtime import FakeRuntime
+from tests.sharing import make_request, make_salt_builder
 from tests.test_request_proxy import (
     HEAD,
     FakeCall,
@@ -115,9 +115,8 @@
             tenants.append(Tenant(item["name"], [], group=item["group"]))
         view = View()
         view.__dict__["description"] = Description(tenants=tenants)
-        listener: Any = FakeListener()
-        parts = [PromptPart("a1", 20), PromptPart("b2", 10)]
-        salts = [CacheSaltBuilder(listener).salt(view, tenant, "m", 1, parts).text for tenant in [*tenants, None]]
+        request = make_request(parts=[PromptPart("a1", 20), PromptPart("b2", 10)])
+        salts = [make_salt_builder().salt(view, tenant, "m", 1, request).text for tenant in [*tenants, None]]
         self.assertNotIn("", salts, "an empty salt is shared by all")
         return salts
 
@@ -132,14 +131,6 @@
         self.assertNotIn(isolated[0], shared, "the others reuse nothing that was cached while it shared")
 
 
-class FakeListener:
-    def revision_of(self, owner: str, line: str, part: int) -> int | None:
-        return 1
-
-    def last_revision_of(self, owner: str, line: str, part: int) -> int:
-        return 1
-
-
 class SharesTest(unittest.TestCase):
     """Duty and CONFIG: the services of a split get their shares of the requests."""
 
--- a/tests/test_request_proxy.py
+++ b/tests/test_request_proxy.py
@@ -109,7 +109,7 @@
     def knows_workers(self) -> bool:
         return True
 
-    def is_still_valid(self, view: View, choice: WorkerChoice) -> bool:
+    def is_still_valid(self, view: View, tenant: Tenant | None, request: OpaqueRequest, choice: WorkerChoice) -> bool:
         return self.is_choice_valid
 
     def expect_cached(self, worker: str, salt: str, parts: Iterable[str]) -> None:
--- a/tests/test_right_answer_once.py
+++ b/tests/test_right_answer_once.py
@@ -21,7 +21,7 @@
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
 
-from pearhead.config.description import Description, Route, Service, Split
+from pearhead.config.description import Description, Route, Service, Split, Tenant
 from pearhead.config.view import View
 from pearhead.router.errors import ErrorKind, Refusal
 from pearhead.router.fleet_retry_budget import FleetRetryBudget
@@ -178,7 +178,7 @@
     def knows_workers(self) -> bool:
         return True
 
-    def is_still_valid(self, view: View, choice: WorkerChoice) -> bool:
+    def is_still_valid(self, view: View, tenant: Tenant | None, request: OpaqueRequest, choice: WorkerChoice) -> bool:
         return True
 
     def expect_cached(self, *arguments: object) -> None:
