WALL: what one view decided about a request is sent as a whole

Requests of a key that moved between two isolated tenants ran on memory of the tenant that had held it before: X-Tenant of the one, X-Cache-Salt of the other.

Cause: two looks at the view in one request. The worker and the salt were chosen by the first; after the wait for a connection the request was resolved again, and the tenant's name and urgency of the second look went out with the salt, the source and the store of the first.

Change: Placement holds the route, the tenant and the choice of one view, and what a worker is told is made from it alone. In the step that sends the first byte the view in force has to give the same route, tenant and salt; otherwise nothing is sent, and the request is placed anew.

Why it works: no statement in the proxy can combine two views any more, and a view that decides otherwise is noticed in the step of the sending.

Ruled out: a mixed view (it is immutable and swapped whole), a salt kept between requests (there is none), comparing the tenant's name alone (a tenant that leaves its group keeps its name).

--- a/src/pearhead/router/request_proxy.py
+++ b/src/pearhead/router/request_proxy.py
@@ -16,7 +16,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
-from pearhead.config.description import Route, Tenant
+from pearhead.config.description import Route
 from pearhead.config.view import View
 from pearhead.router.drain import DRAINING_DETAIL, DrainSchedule, DrainState
 from pearhead.router.errors import ErrorKind, Refusal
@@ -31,13 +31,13 @@
     ResponseVerdict,
     ResponseWriter,
 )
+from pearhead.router.placement import Placement, ResolvedRoute
 from pearhead.router.prefill_tracker import PrefillTracker
 from pearhead.router.request_bookkeeping import RequestBookkeeping
 from pearhead.router.stream_sequence import StreamViolation
 from pearhead.router.upstream_pool import POOL_EXHAUSTED, UNLIMITED_IDLE_MICROS, CallLimits, UpstreamCall, UpstreamPool
 from pearhead.router.worker_load_tracker import WorkerLoadTracker
 from pearhead.router.worker_selector import WorkerChoice, WorkerSelector
-from pearhead.runtime.bounded_numbers import saturate
 from pearhead.runtime.clock import MILLI, SECOND, Clock, sleep_for
 
 LOGGER = logging.getLogger("pearhead")
@@ -76,10 +76,6 @@
 # These statuses promise the client that the request has not run and never will. Only `ResponseVerdict.NOT_RUN` and
 # similar verdicts justify that promise, so a worker's failure with one of these statuses is not forwarded.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-# A request's urgency is twice its tenant's plus its route's, from 0 to 9.
-DEFAULT_TENANT_URGENCY = 2
-MAX_TENANT_URGENCY = 4
-MAX_ROUTE_URGENCY = 1
 
 
 class ViewProvider(Protocol):
@@ -120,15 +116,6 @@
     retry_micros: int = DEFAULT_RETRY_AFTER_MICROS
 
 
-@dataclass(frozen=True)
-class ResolvedRoute:
-    """The route of a request by the given view, and its tenant, None if no tenant has the request's key."""
-
-    view: View
-    route: Route
-    tenant: Tenant | None
-
-
 class RequestProxy:
     """Serves opaque requests: chooses a worker, sends the request, forwards the response, and retries where it may.
 
@@ -242,7 +229,7 @@
                 in_flight_request.may_wait_for_prefill = False
                 continue
             in_flight_request.may_wait_for_prefill = False
-            last_refusal = await self._try_worker(in_flight_request, resolved, choice)
+            last_refusal = await self._try_worker(in_flight_request, Placement(resolved, choice))
         if not in_flight_request.is_done:
             self._fail_request(in_flight_request, last_refusal)
 
@@ -303,11 +290,9 @@
 
     # ---- one try at one worker --------------------------------------------------------------------------------
 
-    async def _try_worker(
-        self, in_flight_request: InFlightRequest, resolved: ResolvedRoute, choice: WorkerChoice
-    ) -> Refusal:
+    async def _try_worker(self, in_flight_request: InFlightRequest, placement: Placement) -> Refusal:
         """Sends the request to one worker. Returns the refusal to report if no other worker takes the request."""
-        request, worker = in_flight_request.request, choice.backend.name
+        request, choice, worker = in_flight_request.request, placement.choice, placement.choice.backend.name
         in_flight_request.placements += 1
         if not in_flight_request.splitter.sequence.accepts_version(choice.version):
             in_flight_request.excluded_workers.add(worker)
@@ -315,9 +300,7 @@
                 ErrorKind.NO_WORKER, "a worker has older weights than the answer so far", DEFAULT_RETRY_AFTER_MICROS
             )
         remaining_micros = in_flight_request.deadline_micros - self.clock.now()
-        call_result = await self.pool.call(
-            choice.backend.address, self._call_limits(resolved, choice, remaining_micros)
-        )
+        call_result = await self.pool.call(choice.backend.address, self._call_limits(placement, remaining_micros))
         if isinstance(call_result, Err):
             in_flight_request.excluded_workers.add(worker)
             if call_result.err_value != POOL_EXHAUSTED:
@@ -329,25 +312,10 @@
             if in_flight_request.writer.is_disconnected():
                 # `asyncio.wait_for` can lose a cancellation that arrives just as the connection is established.
                 return Refusal(ErrorKind.NO_WORKER, "the caller is gone")
-            resolution = self._resolve_route(request)
-            if (
-                isinstance(resolution, Err)
-                or resolution.ok_value.route.splits != resolved.route.splits
-                or not self.selector.is_still_valid(resolution.ok_value.view, resolved.tenant, request, choice)
-            ):
-                # The configuration that the worker was chosen by is no longer in force; nothing was sent (§8.4).
+            if not self._is_still_valid(request, placement):
                 return Refusal(ErrorKind.NO_WORKER, "what was placed does not stand", DEFAULT_RETRY_AFTER_MICROS)
-            tenant = resolution.ok_value.tenant
-            metadata = ForwardingMetadata(
-                remaining_micros=in_flight_request.deadline_micros - self.clock.now(),
-                worker=worker,
-                tenant=tenant.name if tenant is not None else "",
-                urgency=_urgency(resolved.route, tenant),
-                version=choice.version,
-                salt=choice.salt,
-                fetch_from=choice.fetch_from,
-                copy_to=choice.copy_to,
-                last_event_id=in_flight_request.splitter.last_id,
+            metadata = placement.metadata(
+                in_flight_request.deadline_micros - self.clock.now(), in_flight_request.splitter.last_id
             )
             headers = self.adapter.outgoing_headers(request, metadata)
             sent_micros = self.clock.now()
@@ -361,15 +329,24 @@
             call.send(request.method, request.target, headers, request.body)
             with self.bookkeeping.update("prefill"):
                 reservation.prefill = self.prefill_tracker.begin(choice, request)
-            return await self._forward_response(
-                in_flight_request, resolved, choice, metadata, call, reservation, sent_micros
-            )
+            return await self._forward_response(in_flight_request, placement, metadata, call, reservation, sent_micros)
         except TimeoutError:
             return Refusal(ErrorKind.DEADLINE_PASSED, "its deadline passed")
         finally:
             reservation.end()
             await call.close()
 
+    def _is_still_valid(self, request: OpaqueRequest, placement: Placement) -> bool:
+        """Whether the view in force would place the request in the same way: route, tenant, worker and salt.
+
+        Called in the same step that sends the first byte (§8.4). Otherwise nothing is sent, and it is placed anew.
+        """
+        resolution = self._resolve_route(request)
+        if isinstance(resolution, Err) or not resolution.ok_value.agrees_with(placement.resolved):
+            return False
+        resolved = resolution.ok_value
+        return self.selector.is_still_valid(resolved.view, resolved.tenant, request, placement.choice)
+
     def _reserve(self, choice: WorkerChoice) -> LoadReservation:
         """Returns the load that the request adds to the chosen worker, once it is sent."""
         waiting_tokens = min(choice.missing_tokens, choice.held_tokens)
@@ -377,8 +354,9 @@
             self.load_tracker, self.bookkeeping, choice.backend.name, waiting_tokens, choice.held_tokens
         )
 
-    def _call_limits(self, resolved: ResolvedRoute, choice: WorkerChoice, remaining_micros: int) -> CallLimits:
+    def _call_limits(self, placement: Placement, remaining_micros: int) -> CallLimits:
         """Returns a call's limits, with this node's share of the connections that a worker accepts from all (§8.9)."""
+        resolved, choice = placement.resolved, placement.choice
         max_idle_micros = UNLIMITED_IDLE_MICROS if _may_repeat(resolved.route) else NON_REPEATABLE_MAX_IDLE_MICROS
         services = resolved.view.description.services
         connection_limit = next((s.connection_limit for s in services if s.name == choice.backend.service), 0)
@@ -392,14 +370,13 @@
     async def _forward_response(
         self,
         in_flight_request: InFlightRequest,
-        resolved: ResolvedRoute,
-        choice: WorkerChoice,
+        placement: Placement,
         metadata: ForwardingMetadata,
         call: UpstreamCall,
         reservation: LoadReservation,
         sent_micros: int,
     ) -> Refusal:
-        request, worker = in_flight_request.request, choice.backend.name
+        request, route, worker = in_flight_request.request, placement.resolved.route, metadata.worker
         raw_head = await call.head(in_flight_request.deadline_micros - self.clock.now())
         if raw_head is None:
             self.load_tracker.record_failure(worker)
@@ -421,9 +398,9 @@
             self.load_tracker.record_failure(worker)
             return Refusal(ErrorKind.OUTCOME_UNKNOWN, "the worker answered something else")
         if head.verdict is ResponseVerdict.FAILURE:
-            return await self._forward_failure(in_flight_request, resolved, head, call, worker)
-        if resolved.route.stream:
-            return await self._forward_stream(in_flight_request, choice, head, call, reservation, sent_micros)
+            return await self._forward_failure(in_flight_request, route, head, call, worker)
+        if route.stream:
+            return await self._forward_stream(in_flight_request, placement.choice, head, call, reservation, sent_micros)
         return await self._forward_buffered(in_flight_request, head, call, worker)
 
     async def _forward_stream(
@@ -499,7 +476,7 @@
     async def _forward_failure(
         self,
         in_flight_request: InFlightRequest,
-        resolved: ResolvedRoute,
+        route: Route,
         head: ResponseHead,
         call: UpstreamCall,
         worker: str,
@@ -516,7 +493,7 @@
             in_flight_request.has_response_started
             or buffered_body is None
             or head.status in NOT_RUN_STATUSES
-            or (head.status >= 500 and _may_repeat(resolved.route) and in_flight_request.tries < resolved.route.tries)
+            or (head.status >= 500 and _may_repeat(route) and in_flight_request.tries < route.tries)
         ):
             return Refusal(ErrorKind.OUTCOME_UNKNOWN, f"the worker failed with {head.status}")
         self._write_buffered(in_flight_request, head, buffered_body)
@@ -612,12 +589,6 @@
     return route.stream and route.resumable and in_flight_request.splitter.sequence.is_resumable()
 
 
-def _urgency(route: Route, tenant: Tenant | None) -> int:
-    """Returns an urgency from 0 to 9, in which the tenant's takes precedence over the route's."""
-    tenant_urgency = saturate(tenant.urgency if tenant is not None else DEFAULT_TENANT_URGENCY, MAX_TENANT_URGENCY)
-    return 2 * tenant_urgency + saturate(route.urgency, MAX_ROUTE_URGENCY)
-
-
 def _forwardable_headers(headers: HTTPHeaders) -> HTTPHeaders:
     dropped = set(HOP_BY_HOP_HEADERS) | {name.strip().lower() for name in headers.get("Connection", "").split(",")}
     forwarded = HTTPHeaders()
--- a/tests/test_tenant_isolation.py
+++ b/tests/test_tenant_isolation.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import unittest
 from collections.abc import Callable
@@ -19,6 +20,7 @@
 from pearhead.config.view import View
 from pearhead.router.gateway import GatewayProcess, GatewaySettings
 from pearhead.router.opaque_request import ForwardingMetadata, OpaqueRequest, PromptPart
+from pearhead.router.placement import combine_urgencies
 from pearhead.router.roster_merge import Roster
 from pearhead.router.worker_control import Backend
 from pearhead.router.worker_selector import WorkerChoice
@@ -165,5 +167,81 @@
         self.assertIsNotNone(self.gateway.view())
 
 
+class MovedKeyTest(IsolationTestCase):
+    """What one view decided is sent as a whole, or the request is placed anew."""
+
+    async def serve_while(self, key: str, *views: View) -> list[tuple[str, str, str]]:
+        """Puts one view after the other in force, each while a connection is made; returns what workers were told."""
+        changes = iter(views)
+
+        def put_next_view() -> None:
+            self.use_view(next(changes, self.gateway.view_replica.view))
+
+        writer, pool = await self.serve(key, put_next_view)
+        self.assertEqual((writer.status, writer.end), (200, "whole"))
+        return [(sent["Tenant"], sent["Salt"], sent["Urgency"]) for sent in pool.sent_headers()]
+
+    def told_by(self, key: str, view: View) -> tuple[str, str, str]:
+        """What a worker is told by this view alone."""
+        self.use_view(view)
+        tenant = view.tenant_by_hash[hash_key(key)]
+        return tenant.name, self.choose(key).salt, str(combine_urgencies(ROUTE, tenant))
+
+    async def test_a_key_that_moves_while_a_connection_is_made_never_mixes_two_tenants(self) -> None:
+        # Guards against WALL: the name of the key's new tenant was sent with the salt of its former one.
+        before = make_view(Tenant("one", [hash_key("k")], urgency=0), Tenant("two", [], urgency=3))
+        after = make_view(Tenant("one", [], urgency=0), Tenant("two", [hash_key("k")], urgency=3))
+        expected = self.told_by("k", after)
+        self.use_view(before)
+        self.assertEqual(await self.serve_while("k", after), [expected])
+
+    async def test_a_tenant_that_becomes_isolated_while_a_connection_is_made_shares_no_more(self) -> None:
+        # Guards against WALL: the salt of the group was sent after the tenant had left it.
+        isolated = make_view(SHARED[0], Tenant("two", [hash_key("k-two")]))
+        for key in ("k-one", "k-two"):
+            expected = self.told_by(key, isolated)
+            self.use_view(make_view(*SHARED))
+            shared = self.choose(key).salt
+            self.assertEqual(await self.serve_while(key, isolated), [expected])
+            self.assertNotEqual(expected[1], shared)
+
+    async def test_a_tenant_that_joins_or_leaves_elsewhere_changes_the_salt_of_the_group(self) -> None:
+        # The salt of a group names all tenants outside of it, so the same tenant may get another salt.
+        other = make_view(*SHARED, Tenant("new", []))
+        expected = self.told_by("k-one", other)
+        self.use_view(make_view(*SHARED))
+        self.assertEqual(await self.serve_while("k-one", other), [expected])
+
+    async def test_a_key_that_moves_at_every_connection_is_refused_as_not_run(self) -> None:
+        views = [
+            make_view(Tenant("one", [hash_key("k")]), Tenant("two", [])),
+            make_view(Tenant("one", []), Tenant("two", [hash_key("k")])),
+        ]
+        count = 0
+
+        def move_key() -> None:
+            nonlocal count
+            count += 1
+            self.use_view(views[count % 2])
+
+        self.use_view(views[0])
+        writer, pool = await self.serve("k", move_key)
+        self.assertEqual((writer.status, writer.end, pool.sent_headers()), (503, "whole", []))
+
+    async def test_a_view_that_changes_nothing_for_a_request_lets_it_go_on(self) -> None:
+        same = make_view(*SHARED)
+        expected = self.told_by("k-one", same)
+        self.use_view(make_view(*SHARED))
+        pool_calls = await self.serve_while("k-one", same)
+        self.assertEqual(pool_calls, [expected])
+
+    async def test_a_route_that_changes_while_a_connection_is_made_is_followed(self) -> None:
+        route = dataclasses.replace(ROUTE, urgency=0, tries=1)
+        urgent = make_view(*SHARED, route=route)
+        self.use_view(make_view(*SHARED))
+        sent = await self.serve_while("k-one", urgent)
+        self.assertEqual([urgency for _, _, urgency in sent], [str(combine_urgencies(route, SHARED[0]))])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_unbounded_numbers.py
+++ b/tests/test_unbounded_numbers.py
@@ -24,8 +24,8 @@
 from pearhead.router.errors import Refusal
 from pearhead.router.gateway import GatewayProcess, GatewaySettings
 from pearhead.router.opaque_request import ForwardingMetadata, OpaqueRequest
+from pearhead.router.placement import combine_urgencies
 from pearhead.router.relay import sum_use_notes
-from pearhead.router.request_proxy import _urgency
 from pearhead.router.roster_merge import pack_backend
 from pearhead.router.upstream_pool import MAX_KEEP_ALIVE_SECONDS, UpstreamPool
 from pearhead.router.worker_load_tracker import WorkerLoadTracker
@@ -175,8 +175,8 @@
         for number in (-(10**30), -1, 0, 3, 10**30):
             route = Route("r", "h", "/", [Split("s", 1)], SECOND, urgency=number)
             tenant = Tenant("t", [], urgency=number)
-            self.assertIn(_urgency(route, tenant), range(10))
-            self.assertIn(_urgency(route, None), range(10))
+            self.assertIn(combine_urgencies(route, tenant), range(10))
+            self.assertIn(combine_urgencies(route, None), range(10))
 
 
 class NumbersOfOperatorsTest(unittest.IsolatedAsyncioTestCase):
