--- a/src/pearhead/consensus/persistence.py
+++ b/src/pearhead/consensus/persistence.py
@@ -54,9 +54,9 @@
 
     async def drain(self) -> None:
         """Waits until all records queued so far are synced."""
-        drained: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.persist([], lambda: drained.set_result(None))
-        await drained
+        drained = asyncio.Event()
+        self.persist([], drained.set)
+        await drained.wait()
 
     def is_busy(self) -> bool:
         """Whether any records are queued or being synced."""
@@ -74,7 +74,18 @@
         return self.clock.now() - self.flush_started_micros if self.flush_started_micros is not None else 0
 
     async def run(self) -> None:
-        """Writes queued records; runs until it is cancelled."""
+        """Writes queued records; runs until it is cancelled.
+
+        An unexpected exception ends the process: a member whose log is not written any more must not live on. What
+        was written is recovered from the disk at the next start.
+        """
+        try:
+            await self._write_queued()
+        except Exception as fault:
+            self.fail(f"the log writer failed: {fault!r}")
+            raise
+
+    async def _write_queued(self) -> None:
         while True:
             await self.wake.wait()
             self.wake.clear()
--- a/src/pearhead/consensus/raft.py
+++ b/src/pearhead/consensus/raft.py
@@ -136,7 +136,7 @@
         """Starts the log writer and the periodic tick."""
         self.timer.reset()
         self.task_group.start(self.writer.run())
-        self.task_group.start(self._tick_forever())
+        self.task_group.supervise("raft_tick", self.clock, self._tick_forever)
 
     def watch_members(self, watcher: MembersWatcher) -> None:
         """Calls the watcher with the index and members of each membership committed while this member leads."""
--- a/src/pearhead/control_plane/core_process.py
+++ b/src/pearhead/control_plane/core_process.py
@@ -173,9 +173,12 @@
         self.rpc_endpoint.on_request("term_ask", self.view_service.make_term_result)
         self._register_volumes()
         self.raft.start()
-        self.task_group.start(self.directory.run())
-        self.task_group.start(self.membership.run())
-        self.task_group.start(self.membership.reconcile())
+        for name, run_loop in (
+            ("directory", self.directory.run),
+            ("membership", self.membership.run),
+            ("membership_reconciliation", self.membership.reconcile),
+        ):
+            self.task_group.supervise(name, self.clock, run_loop)
         LOGGER.info("control_plane: Listens. core=%s address=%s", self.identity[:8], self.startup.address)
 
     def stop(self) -> None:
--- a/src/pearhead/control_plane/main.py
+++ b/src/pearhead/control_plane/main.py
@@ -64,7 +64,7 @@
     if startup.eventSink:
         publisher = EventPublisher(http_post(startup.eventSink))
         core.publish_event = publisher.publish
-        core.task_group.start(publisher.run())
+        core.task_group.supervise("event_publisher", clock, publisher.run)
 
     async def drain() -> None:
         await server.drain_with_process(clock, startup.drainMicros, core.drain)
--- a/src/pearhead/control_plane/metrics.py
+++ b/src/pearhead/control_plane/metrics.py
@@ -11,7 +11,7 @@
 from pearhead.control_plane.core_process import CoreProcess
 from pearhead.rpc.metrics import MessageCollector
 from pearhead.runtime.clock import SECOND
-from pearhead.runtime.collectors import LinkCollector
+from pearhead.runtime.collectors import BackgroundLoopCollector, LinkCollector
 from pearhead.runtime.metrics import build_registry, counter, gauge, labelled_gauge
 from pearhead.runtime.socketnet import SocketNet
 
@@ -49,4 +49,4 @@
 
 def build_core_registry(core: CoreProcess, net: SocketNet) -> CollectorRegistry:
     """The registry with all metrics of a core; they can be read once the core has started."""
-    return build_registry([CoreCollector(core), LinkCollector(net)])
+    return build_registry([CoreCollector(core), LinkCollector(net), BackgroundLoopCollector(core.task_group)])
--- a/src/pearhead/control_plane/operator_api.py
+++ b/src/pearhead/control_plane/operator_api.py
@@ -69,7 +69,7 @@
             command.apply.base_revision = int(data["base"])
             command.apply.description = json.dumps(data["description"]).encode()
             command.apply.by = str(data.get("by", ""))
-        except (KeyError, ValueError, TypeError) as fault:
+        except (KeyError, ValueError, TypeError, OverflowError) as fault:
             return self.refuse(f"applyId, base and description are needed: {fault!r}")
         await self.execute(command)
 
@@ -92,7 +92,7 @@
         try:
             command.change.base_number, command.change.number = int(data["base"]), int(data["number"])
             command.change.document = encode_json(partial_change or data["description"])
-        except (KeyError, ValueError, TypeError) as fault:
+        except (KeyError, ValueError, TypeError, OverflowError) as fault:
             return self.refuse(f"number and base are needed: {fault!r}")
         command.change.by_name = bool(partial_change)
         await self.execute(command)
@@ -130,7 +130,7 @@
             for item in data.get("workers", []):
                 command.workers.worker.append(Worker(**item))
             command.workers.SetInParent()
-        except (ValueError, TypeError) as fault:
+        except (ValueError, TypeError, OverflowError) as fault:
             return self.refuse(f"workers: {fault}")
         await self.execute(command)
 
@@ -148,7 +148,7 @@
             command.weights.line = escape_surrogates(str(data.get("line", "")))
             command.weights.weights = str(data.get("weights", ""))
             command.weights.base_revision = int(data.get("base", 0))
-        except (ValueError, TypeError) as fault:
+        except (ValueError, TypeError, OverflowError) as fault:
             return self.refuse(f"weights: {fault}")
         await self.execute(command)
 
--- a/tests/test_background_task_group.py
+++ b/tests/test_background_task_group.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 from typing import Any
 
 from pearhead.config.startup import StartupConfig
+from pearhead.consensus.persistence import LogWriter
 from pearhead.router.gateway import GatewayProcess, GatewaySettings
 from pearhead.runtime.background_task_group import MAX_RETAINED_EXCEPTIONS, BackgroundTaskGroup
 from pearhead.runtime.clock import MILLI, SECOND
@@ -95,5 +97,39 @@
         self.assertIn("load_announcer", gateway.task_group.supervised_failures)
 
 
+class CoreLoopsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.failures: list[str] = []
+
+        class WorkingDisk:
+            async def append(self, records: list[Any]) -> None:
+                return None
+
+        unused: Any = None
+        disk: Any = WorkingDisk()
+        self.writer = LogWriter(unused, disk, FakeRuntime(), self.failures.append)
+
+    async def test_a_log_writer_that_fails_ends_the_process(self) -> None:
+        # Guards against a core that lives on and never writes its log again.
+        def fail() -> None:
+            raise ValueError("a callback that fails")
+
+        self.writer.persist([], fail)
+        with self.assertRaises(ValueError):
+            await self.writer.run()
+        self.assertEqual(len(self.failures), 1)
+        self.assertIn("the log writer failed", self.failures[0])
+
+    async def test_a_wait_for_the_writer_that_is_given_up_does_not_end_it(self) -> None:
+        waiting = asyncio.ensure_future(self.writer.drain())
+        await asyncio.sleep(0)
+        waiting.cancel()
+        running = asyncio.ensure_future(self.writer.run())
+        await asyncio.wait([asyncio.ensure_future(self.writer.drain()), running], return_when=asyncio.FIRST_COMPLETED)
+        self.assertFalse(running.done(), "the writer has ended")
+        self.assertEqual(self.failures, [])
+        running.cancel()
+
+
 if __name__ == "__main__":
     unittest.main()
